--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,198 @@
+//! What the decisions are told and what they ask for: plain data, no decision.
+//!
+//! Times are spans since the dispatcher's own start. Hosts, tasks, offerings, customers, zones and
+//! kinds are small indices given out by [`crate::door`].
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One value told at start.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Term {
+    Flag(bool),
+    Number(f64),
+    Text(String),
+}
+
+/// Everything told at start: dotted names (`offerings.0.gain`) to values.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Terms(pub BTreeMap<String, Term>);
+
+impl Terms {
+    pub fn number(&self, name: &str) -> Option<f64> {
+        match self.0.get(name) {
+            Some(Term::Number(value)) if value.is_finite() => Some(*value),
+            _ => None,
+        }
+    }
+
+    pub fn text(&self, name: &str) -> Option<&str> {
+        match self.0.get(name) {
+            Some(Term::Text(value)) => Some(value),
+            _ => None,
+        }
+    }
+
+    pub fn flag(&self, name: &str) -> bool {
+        matches!(self.0.get(name), Some(Term::Flag(true)))
+    }
+
+    /// A name that ends in `_us`, as a span.
+    pub fn span(&self, name: &str) -> Option<Duration> {
+        self.number(name).filter(|us| *us >= 0.0).map(|us| Duration::from_micros(us as u64))
+    }
+
+    /// How many entries a list has: `list.0`, `list.1`, … with or without names below them.
+    pub fn entries(&self, list: &str) -> usize {
+        let found = |i: usize| {
+            let exact = format!("{list}.{i}");
+            let below = format!("{exact}.");
+            self.0.contains_key(&exact)
+                || self.0.range(below.clone()..).next().is_some_and(|(name, _)| name.starts_with(&below))
+        };
+        (0..).take_while(|i| found(*i)).count()
+    }
+}
+
+/// A session's or a shared text's place at the door; `turn` changes when the place gets a new owner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Key {
+    pub place: u32,
+    pub turn: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Running,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listed {
+    pub host: u32,
+    /// How long the process has run; absent: a long time.
+    pub up_for: Option<Duration>,
+    pub cell: u32,
+    pub zone: u32,
+    pub weight: f64,
+    /// Absent where the kind is not among those told at start.
+    pub kind: Option<u32>,
+    pub standing: Standing,
+}
+
+/// How a shot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Delivered,
+    /// The prompt has been read and its state waits at the reader.
+    Read,
+    Full,
+    /// There was no state to fetch.
+    NoState,
+    Error,
+    Broken,
+    NoConnection,
+    TimedOut,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    /// Whether it proves that the shot never ran.
+    pub fn never_ran(self) -> bool {
+        use Outcome::*;
+        matches!(self, Read | Full | NoState | NoConnection | Moot)
+    }
+}
+
+/// A load report, in the order of the names told at start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub values: [f64; 4],
+    pub count: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Order {
+    pub task: u32,
+    pub offering: Option<u32>,
+    pub customer: Option<u32>,
+    pub session: Option<Key>,
+    pub shared: Option<Key>,
+    /// Until the client gives this try up.
+    pub left: Duration,
+    /// A rough guess of the answer's length, as time at the offering's pace.
+    pub hint: Option<Duration>,
+    pub prompt_tokens: u32,
+    pub shared_tokens: u32,
+    pub most_tokens: u32,
+    /// The client asks again for a task that it has asked for before.
+    pub again: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Closed {
+    pub task: u32,
+    pub shot: u32,
+    pub outcome: Outcome,
+    /// The task had ended by then, or ends with this.
+    pub finished: bool,
+    /// Prompt tokens found kept.
+    pub kept_tokens: u32,
+    pub load: Option<Load>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Hosts { whole: bool, listed: Vec<Listed> },
+    ListFailed,
+    Order(Order),
+    Started { task: u32, shot: u32 },
+    Closed(Closed),
+    Place { task: u32, held: bool },
+    Probed { host: u32, answered: bool, load: Option<Load> },
+    Timer { token: u64 },
+    ClientGone { task: u32 },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send {
+        task: u32,
+        host: u32,
+        until: Duration,
+    },
+    Cancel {
+        task: u32,
+        shot: u32,
+    },
+    Release {
+        task: u32,
+    },
+    Bounce {
+        task: u32,
+        come_back: Option<Duration>,
+    },
+    BreakOff {
+        task: u32,
+    },
+    /// End a running stream in good order; its client comes again.
+    Move {
+        task: u32,
+    },
+    Probe {
+        host: u32,
+    },
+    Timer {
+        at: Duration,
+        token: u64,
+    },
+    AskList,
+    Note(String),
+    /// Nothing more will be said of this task: its index may be given out again.
+    Forget {
+        task: u32,
+    },
+}
