--- a/src/rules.rs
+++ b/src/rules.rs
@@ -642,11 +642,9 @@
                 last = pending;
             }
         }
-        if last <= count + self.long_prompt {
-            last_reader.map(|h| (h, Part::Read))
-        } else {
-            best.map(|h| (h, Part::Read))
-        }
+        // Only a last reader that may be sent to has a count: with none at all, both are without bound.
+        let stays = last.is_finite() && last <= count + self.long_prompt;
+        (if stays { last_reader } else { best }).map(|h| (h, Part::Read))
     }
 
     /// The writer or mixed host with the fewest pending tokens; near the reader, where one holds the state.
