--- a/src/rules.rs
+++ b/src/rules.rs
@@ -95,6 +95,7 @@
     haste: f64,
     pace: f64,
     heard: Duration,
+    full_until: Duration,
     forgot: Duration,
     /// Cold budget in shots, and own shots a second.
     budget: f64,
@@ -115,6 +116,9 @@
     part: Part,
     sent: Duration,
     charge: f64,
+    /// Own pending tokens at the host when it went, this shot's included.
+    queue: f64,
+    cancelled: bool,
     assumed: u32,
     out: bool,
     started: Option<Duration>,
@@ -132,6 +136,7 @@
 struct Wanted {
     shot: Option<(u32, Part, Duration)>,
     answer: Option<Answer>,
+    cancel: Option<usize>,
     keep: bool,
     wake: Option<Duration>,
 }
@@ -173,6 +178,9 @@
     first_time: f64,
 }
 
+/// A step's own cost, in tokens, beside those it reads: the smallest chunk an engine works in.
+const STEP: f64 = 300.0;
+
 fn blend(old: f64, new: f64, weight: f64) -> f64 {
     if old == 0.0 { new } else { old + weight * (new - old) }
 }
@@ -313,6 +321,7 @@
                 haste: 0.0,
                 pace: 0.0,
                 heard: now,
+                full_until: now,
                 forgot: now,
                 budget: 0.0,
                 budget_at: now,
@@ -394,8 +403,8 @@
             host.credit = (host.credit + 0.2).min(10.0);
             if write {
                 host.haste = blend(host.haste, waited, 0.2);
-                host.heard = now;
             }
+            host.heard = now;
         }
         self.plan(t);
         self.settle(t, out);
@@ -412,7 +421,7 @@
         shot.may_have_run = shot.part != Part::Read && !closed.outcome.never_ran();
         shot.failed = !matches!(closed.outcome, Outcome::Delivered | Outcome::Read);
         let (h, part, sent, charge, started) = (shot.host, shot.part, shot.sent, shot.charge, shot.started);
-        let assumed = shot.assumed;
+        let (assumed, queue, cancelled) = (shot.assumed, shot.queue, shot.cancelled);
         match closed.outcome {
             Outcome::Read => task.held_by = Some(h),
             Outcome::NoState => task.held_by = None,
@@ -442,8 +451,7 @@
         let blame = match closed.outcome {
             Outcome::Read | Outcome::Delivered => {
                 if part == Part::Read {
-                    let charge = charge + host.reading.max(0.0) + 300.0;
-                    host.haste = blend(host.haste, waited / charge, 0.2);
+                    host.haste = blend(host.haste, waited / (queue + STEP), 0.2);
                     // What the note says was kept counts: a host that forgot a text has forgotten all of them.
                     if assumed > 0 && closed.kept_tokens == 0 {
                         host.forgot = now;
@@ -458,7 +466,13 @@
             Outcome::Error => 0.35,
             Outcome::TimedOut => 0.5,
             Outcome::Broken | Outcome::NoConnection => 0.6,
-            Outcome::Full | Outcome::NoState | Outcome::Cancelled | Outcome::Moot => 0.0,
+            Outcome::Cancelled if cancelled => 0.5,
+            Outcome::Full => {
+                // Nothing more until a place may have come free; the tenth of a second is a few answers' time.
+                host.full_until = now + Duration::from_millis(100);
+                0.0
+            }
+            Outcome::NoState | Outcome::Cancelled | Outcome::Moot => 0.0,
         };
         if blame > 0.0 {
             host.suspicion = (host.doubt(now) + blame).min(1.0);
@@ -538,7 +552,7 @@
         let terms = &self.offerings[task.offering];
         let further = task.shots.iter().any(|shot| shot.failed);
         let Some(host) = self.host(h) else { return false };
-        if !host.running || (further && host.credit < 1.0) {
+        if !host.running || now < host.full_until || (further && host.credit < 1.0) {
             return false;
         }
         if part != Part::Read {
@@ -735,9 +749,8 @@
         if task.ended {
             return;
         }
-        if task.shots.iter().any(|shot| shot.out) {
-            task.want.keep = true;
-            return;
+        if let Some(i) = task.shots.iter().position(|shot| shot.out) {
+            return self.watch(t, i);
         }
         let held = task.held_by;
         let first = task.shots.is_empty();
@@ -764,9 +777,12 @@
                     Part::Write => self.first_time,
                     Part::Whole => self.read_time + self.first_time,
                 };
-                // Silence costs a shot, not the task: four times the usual, or two fifths of the agreed time.
-                let patience = Duration::from_secs_f64((4.0 * usual).max(0.4 * agreed));
-                task.want.shot = Some((h, part, stop.min(now + patience)));
+                // Silence costs a shot, not the task: four times the usual, or a third of the agreed time.
+                let patience = Duration::from_secs_f64((4.0 * usual).max(agreed / 3.0));
+                let cancel = self.terms.flag("allowed.cancel");
+                let until = if cancel { stop } else { stop.min(now + 2 * patience) };
+                task.want.shot = Some((h, part, until));
+                task.want.wake = Some(now + patience).filter(|at| cancel && *at < stop);
                 task.want.keep = true;
             }
             None => {
@@ -782,6 +798,29 @@
         }
     }
 
+    /// A shot is out. Hosts answer first come first: one that has answered others since still works, and waiting
+    /// there is no worse than anew elsewhere. One that has been silent since, while its peers spoke, is let go of.
+    /// Holds against hung, cut off and dead hosts alike; may hurt where traffic is so thin that nobody speaks.
+    fn watch(&mut self, t: usize, i: usize) {
+        let now = self.now;
+        let stop = self.tasks[t].stop;
+        let shot = &self.tasks[t].shots[i];
+        let (sent, started, cancelled, h) = (shot.sent, shot.started, shot.cancelled, shot.host);
+        let agreed = (self.tasks[t].due - self.tasks[t].arrived) / 3;
+        self.tasks[t].want.keep = true;
+        if started.is_some() || cancelled || !self.terms.flag("allowed.cancel") || now < sent + agreed {
+            return;
+        }
+        let Some(host) = self.host(h) else { return };
+        let role = host.role;
+        let peers = |peer: &&Host| peer.role == role && peer.heard > sent;
+        if host.heard <= sent && self.hosts.iter().flatten().any(|peer| peers(&peer)) {
+            self.tasks[t].want.cancel = Some(i);
+        } else if now + agreed / 2 < stop {
+            self.tasks[t].want.wake = Some(now + agreed / 2);
+        }
+    }
+
     /// A reader, or a mixed host for its share of tasks whole: when it has the fewest pending tokens of all.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
@@ -824,6 +863,10 @@
                 Answer::BreakOff => Action::BreakOff { task: number },
             });
         }
+        if let Some(i) = task.want.cancel {
+            task.shots[i].cancelled = true;
+            out.push(Action::Cancel { task: number, shot: i as u32 });
+        }
         let any_out = task.shots.iter().any(|shot| shot.out);
         if task.held_by.is_some() && !task.want.keep && !any_out {
             task.held_by = None;
@@ -846,11 +889,16 @@
             Part::Read => f64::from(order.prompt_tokens) - f64::from(assumed),
             _ => f64::from(order.prompt_tokens) + output,
         };
+        let before =
+            self.host(h).map_or(0.0, |host| if part == Part::Read { host.reading } else { host.writing });
+        let queue = before + charge;
         self.tasks[t].shots.push(Shot {
             host: h,
             part,
             sent: now,
             charge,
+            queue,
+            cancelled: false,
             assumed,
             out: true,
             started: None,
