Bounce before the read what could not be read by the agreed time

Cause: after a flush or a burst readers hold queues longer than the agreed time; every task behind them was read for nobody.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -696,6 +696,17 @@
         best.map(|h| (h, fewest))
     }
 
+    /// Whether a read begun now would end in time for its first token at the agreed time. A host with nothing of
+    /// this dispatcher's pending may always be tried, so that an old, bad reading cannot shut it for good.
+    fn read_in_time(&self, t: usize, h: u32) -> bool {
+        let task = &self.tasks[t];
+        let (Some(order), Some(host)) = (task.order, self.host(h)) else { return false };
+        let net = f64::from(order.prompt_tokens) - f64::from(self.kept(&order, h));
+        let read = host.haste * (host.reading + net + STEP);
+        let by = task.due.min(task.stop).saturating_sub(self.now).as_secs_f64();
+        host.reading <= 0.0 || read + self.first_time < by
+    }
+
     fn can_write(&self, h: u32, part: Part, writers_read: bool) -> bool {
         self.host(h).is_some_and(|host| match host.role {
             Role::Mixed => true,
@@ -826,6 +837,12 @@
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
         let writer = if reader.is_some() { self.pick_writer(t, Part::Write) } else { None };
+        if let Some((h, _)) = reader
+            && self.tasks[t].shots.is_empty()
+            && !self.read_in_time(t, h)
+        {
+            return None;
+        }
         match (reader, whole, writer) {
             (Some(_), Some((h, count)), Some((_, fewest))) if count <= fewest => Some((h, Part::Whole)),
             (Some(reader), _, _) => Some(reader),
