Let patience and slowness follow the tokens ahead of a shot

Slowness was a mean of single ratios, which one tiny read could tip; now seconds over tokens, both fading.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -92,8 +92,8 @@
     suspected_at: Duration,
     credit: f64,
     /// Seconds a token: to read or to a first token, and between tokens; when last heard.
-    haste: f64,
-    pace: f64,
+    haste: Ratio,
+    pace: Ratio,
     heard: Duration,
     full_until: Duration,
     forgot: Duration,
@@ -156,6 +156,7 @@
     held_by: Option<u32>,
     release_by: Duration,
     timer: Option<Duration>,
+    patience: Duration,
     want: Wanted,
 }
 
@@ -185,6 +186,31 @@
     if old == 0.0 { new } else { old + weight * (new - old) }
 }
 
+/// Seconds spent over work done, both fading by an eighth with each addition: long tasks weigh as they should.
+#[derive(Clone, Copy, Default)]
+struct Ratio {
+    spent: f64,
+    done: f64,
+}
+
+impl Ratio {
+    fn add(&mut self, spent: f64, done: f64) {
+        *self = Ratio { spent: self.spent * 0.875 + spent, done: self.done * 0.875 + done };
+    }
+
+    fn join(&mut self, other: &Ratio) {
+        *self = Ratio { spent: self.spent + other.spent, done: self.done + other.done };
+    }
+
+    fn value(&self) -> f64 {
+        if self.done > 0.0 { self.spent / self.done } else { 0.0 }
+    }
+
+    fn against(&self, others: &Ratio) -> f64 {
+        if self.done > 0.0 && others.spent > 0.0 { self.value() / others.value() } else { 1.0 }
+    }
+}
+
 fn decay(from: Duration, to: Duration, seconds: f64) -> f64 {
     (-to.saturating_sub(from).as_secs_f64() / seconds).exp()
 }
@@ -318,8 +344,8 @@
                 suspected_at: now,
                 // A further shot or two may be needed before a host's first answers are in.
                 credit: 2.0,
-                haste: 0.0,
-                pace: 0.0,
+                haste: Ratio::default(),
+                pace: Ratio::default(),
                 heard: now,
                 full_until: now,
                 forgot: now,
@@ -402,7 +428,7 @@
             host.suspicion *= 0.6;
             host.credit = (host.credit + 0.2).min(10.0);
             if write {
-                host.haste = blend(host.haste, waited, 0.2);
+                host.haste.add(waited, 1.0);
             }
             host.heard = now;
         }
@@ -451,13 +477,13 @@
         let blame = match closed.outcome {
             Outcome::Read | Outcome::Delivered => {
                 if part == Part::Read {
-                    host.haste = blend(host.haste, waited / (queue + STEP), 0.2);
+                    host.haste.add(waited, queue + STEP);
                     // What the note says was kept counts: a host that forgot a text has forgotten all of them.
                     if assumed > 0 && closed.kept_tokens == 0 {
                         host.forgot = now;
                     }
                 } else if let Some(started) = started {
-                    host.pace = blend(host.pace, (now - started).as_secs_f64() / output.max(1.0), 0.1);
+                    host.pace.add((now - started).as_secs_f64(), output.max(1.0));
                 }
                 host.heard = now;
                 host.credit = (host.credit + 0.2).min(10.0);
@@ -605,21 +631,17 @@
     /// How many times slower than its peers a host has been of late; 1 where it is within the usual spread.
     fn slow(&self, h: u32) -> f64 {
         let Some(host) = self.host(h) else { return 1.0 };
-        let (mut haste, mut hastes, mut pace, mut paces) = (0.0, 0.0, 0.0, 0.0);
+        let (mut haste, mut pace) = (Ratio::default(), Ratio::default());
         for (i, peer) in self.hosts.iter().enumerate() {
-            let Some(peer) = peer else { continue };
-            if i as u32 == h || peer.role != host.role || !peer.running {
+            let Some(peer) = peer.as_ref().filter(|peer| peer.role == host.role && peer.running) else {
                 continue;
-            }
-            if peer.haste > 0.0 {
-                (haste, hastes) = (haste + peer.haste, hastes + 1.0);
-            }
-            if peer.pace > 0.0 {
-                (pace, paces) = (pace + peer.pace, paces + 1.0);
+            };
+            if i as u32 != h {
+                haste.join(&peer.haste);
+                pace.join(&peer.pace);
             }
         }
-        let ratio = |own: f64, sum: f64, count: f64| if sum > 0.0 { own * count / sum } else { 1.0 };
-        let worst = ratio(host.haste, haste, hastes).max(ratio(host.pace, pace, paces));
+        let worst = host.haste.against(&haste).max(host.pace.against(&pace));
         // Under 1.6 is the spread of sound hosts; what was seen is let go of in ten seconds, so that it is tried.
         if worst < 1.6 { 1.0 } else { 1.0 + (worst.min(10.0) - 1.0) * decay(host.heard, self.now, 10.0) }
     }
@@ -700,13 +722,18 @@
     /// this dispatcher's pending may always be tried, so that an old, bad reading cannot shut it for good.
     fn read_in_time(&self, t: usize, h: u32) -> bool {
         let task = &self.tasks[t];
-        let (Some(order), Some(host)) = (task.order, self.host(h)) else { return false };
-        let net = f64::from(order.prompt_tokens) - f64::from(self.kept(&order, h));
-        let read = host.haste * (host.reading + net + STEP);
+        let Some(host) = self.host(h) else { return false };
+        let read = self.read_expected(t, h);
         let by = task.due.min(task.stop).saturating_sub(self.now).as_secs_f64();
         host.reading <= 0.0 || read + self.first_time < by
     }
 
+    fn read_expected(&self, t: usize, h: u32) -> f64 {
+        let (Some(order), Some(host)) = (self.tasks[t].order, self.host(h)) else { return 0.0 };
+        let net = f64::from(order.prompt_tokens) - f64::from(self.kept(&order, h));
+        host.haste.value() * (host.reading + net + STEP)
+    }
+
     fn can_write(&self, h: u32, part: Part, writers_read: bool) -> bool {
         self.host(h).is_some_and(|host| match host.role {
             Role::Mixed => true,
@@ -780,18 +807,19 @@
             self.pick_start(t)
         };
         let agreed = (due - arrived).as_secs_f64();
+        let expected = match pick {
+            Some((h, Part::Read)) => self.read_expected(t, h),
+            Some((_, Part::Whole)) => self.read_time + self.first_time,
+            _ => self.first_time,
+        };
         let task = &mut self.tasks[t];
         match pick {
             Some((h, part)) => {
-                let usual = match part {
-                    Part::Read => self.read_time,
-                    Part::Write => self.first_time,
-                    Part::Whole => self.read_time + self.first_time,
-                };
-                // Silence costs a shot, not the task: four times the usual, or a third of the agreed time.
-                let patience = Duration::from_secs_f64((4.0 * usual).max(agreed / 3.0));
+                // Silence costs a shot, not the task: four times what is expected, or a third of the agreed time.
+                let patience = Duration::from_secs_f64((4.0 * expected).max(agreed / 3.0));
                 let cancel = self.terms.flag("allowed.cancel");
                 let until = if cancel { stop } else { stop.min(now + 2 * patience) };
+                task.patience = patience;
                 task.want.shot = Some((h, part, until));
                 task.want.wake = Some(now + patience).filter(|at| cancel && *at < stop);
                 task.want.keep = true;
@@ -817,9 +845,9 @@
         let stop = self.tasks[t].stop;
         let shot = &self.tasks[t].shots[i];
         let (sent, started, cancelled, h) = (shot.sent, shot.started, shot.cancelled, shot.host);
-        let agreed = (self.tasks[t].due - self.tasks[t].arrived) / 3;
+        let patience = self.tasks[t].patience;
         self.tasks[t].want.keep = true;
-        if started.is_some() || cancelled || !self.terms.flag("allowed.cancel") || now < sent + agreed {
+        if started.is_some() || cancelled || !self.terms.flag("allowed.cancel") || now < sent + patience {
             return;
         }
         let Some(host) = self.host(h) else { return };
@@ -827,8 +855,8 @@
         let peers = |peer: &&Host| peer.role == role && peer.heard > sent;
         if host.heard <= sent && self.hosts.iter().flatten().any(|peer| peers(&peer)) {
             self.tasks[t].want.cancel = Some(i);
-        } else if now + agreed / 2 < stop {
-            self.tasks[t].want.wake = Some(now + agreed / 2);
+        } else if now + patience / 2 < stop {
+            self.tasks[t].want.wake = Some(now + patience / 2);
         }
     }
 
