--- a/src/rules.rs
+++ b/src/rules.rs
@@ -151,6 +151,7 @@
     due: Duration,
     stop: Duration,
     output: f64,
+    rank: f64,
     shots: Vec<Shot>,
     ended: bool,
     held_by: Option<u32>,
@@ -171,6 +172,8 @@
     sessions: Vec<KeptBy>,
     shared: Vec<KeptBy>,
     dispatchers: f64,
+    /// The agreed time, in seconds, of the offering that brings the most.
+    tightest: f64,
     long_prompt: f64,
     orders: f64,
     orders_at: Duration,
@@ -186,7 +189,7 @@
     if old == 0.0 { new } else { old + weight * (new - old) }
 }
 
-/// Seconds spent over work done, both fading by an eighth with each addition: long tasks weigh as they should.
+/// Seconds spent over work done, both fading by a fifth with each addition: long tasks weigh as they should.
 #[derive(Clone, Copy, Default)]
 struct Ratio {
     spent: f64,
@@ -195,7 +198,7 @@
 
 impl Ratio {
     fn add(&mut self, spent: f64, done: f64) {
-        *self = Ratio { spent: self.spent * 0.875 + spent, done: self.done * 0.875 + done };
+        *self = Ratio { spent: self.spent * 0.8 + spent, done: self.done * 0.8 + done };
     }
 
     fn join(&mut self, other: &Ratio) {
@@ -223,12 +226,17 @@
                 Customer { quota, tokens: 0.0, seen: Duration::ZERO }
             })
             .collect();
+        let offerings: Vec<_> =
+            (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i)).collect();
+        let top = offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
+        let tightest = top.map_or(1.0, |offering| offering.agreed.as_secs_f64());
         let mut chance = Chance(seed ^ 0x9e37_79b9_7f4a_7c15);
         chance.next();
         Rules {
             now: Duration::ZERO,
             chance,
-            offerings: (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i)).collect(),
+            offerings,
+            tightest,
             customers,
             hosts: Vec::new(),
             tasks: Vec::new(),
@@ -385,11 +393,13 @@
         }
         let offering = order.offering.map_or(0, |o| o as usize).min(self.offerings.len() - 1);
         let terms = &self.offerings[offering];
+        let (agreed, agreed_per_token) = (terms.agreed, terms.agreed_per_token);
         let prompt = f64::from(order.prompt_tokens);
         let output = match order.hint {
             Some(hint) => (hint.as_secs_f64() / terms.pace).min(f64::from(order.most_tokens.max(1))),
             None => f64::from(order.most_tokens) / 2.0,
         };
+        let rank = self.rank(order, offering);
         let task = &mut self.tasks[t];
         let shots = std::mem::take(&mut task.shots);
         *task = Task {
@@ -398,10 +408,11 @@
             order: Some(*order),
             offering,
             arrived: now,
-            due: now + terms.agreed + Duration::from_secs_f64(terms.agreed_per_token * prompt),
+            due: now + agreed + Duration::from_secs_f64(agreed_per_token * prompt),
             // Two ticks of the clock inside the client's own time.
             stop: now + order.left.saturating_sub(Duration::from_millis(4)),
             output,
+            rank,
             shots,
             ..Task::default()
         };
@@ -646,15 +657,28 @@
         if worst < 1.6 { 1.0 } else { 1.0 + (worst.min(10.0) - 1.0) * decay(host.heard, self.now, 10.0) }
     }
 
+    /// Tokens before a new read: own pending ones or the latest report of tokens to read, whichever is larger; a
+    /// host without a late report counts at the average of those that have one.
+    fn to_read(&self, h: u32) -> f64 {
+        let Some(host) = self.host(h) else { return f64::INFINITY };
+        let fresh = |host: &Host| {
+            let reported = host.reported.filter(|(at, ..)| self.now - *at < Duration::from_secs(2));
+            reported.and_then(|(_, tokens, _)| tokens)
+        };
+        let reported = fresh(host).unwrap_or_else(|| {
+            let peers = self.hosts.iter().flatten().filter(|peer| peer.role == host.role && peer.running);
+            let (sum, count) =
+                peers.filter_map(fresh).fold((0.0, 0.0), |(s, c), tokens| (s + tokens, c + 1.0));
+            sum / f64::max(count, 1.0)
+        });
+        host.reading.max(reported)
+    }
+
     /// Pending tokens of a host for a task that would add `net`, with suspicion and slowness charged in tokens.
     fn pending(&self, h: u32, part: Part, net: f64) -> f64 {
         let Some(host) = self.host(h) else { return f64::INFINITY };
-        let reported = host.reported.filter(|(at, ..)| self.now - *at < Duration::from_secs(2));
-        let tokens = reported.and_then(|(_, tokens, _)| tokens);
-        let own = match part {
-            Part::Read => host.reading.max(tokens.unwrap_or(0.0)),
-            _ => host.writing + tokens.unwrap_or(0.0),
-        };
+        let to_read = self.to_read(h);
+        let own = if part == Part::Read { to_read } else { host.writing + to_read };
         // Fast failures empty a host; the charge of suspicion, eight long prompts for a certain one, stands in
         // for the work that it lost, and grows with what is out there on trial.
         let doubt = host.doubt(self.now) * 8.0 * self.long_prompt * f64::from(1 + host.shots_out);
@@ -721,17 +745,20 @@
     /// Whether a read begun now would end in time for its first token at the agreed time. A host with nothing of
     /// this dispatcher's pending may always be tried, so that an old, bad reading cannot shut it for good.
     fn read_in_time(&self, t: usize, h: u32) -> bool {
-        let task = &self.tasks[t];
+        let (now, task) = (self.now, &self.tasks[t]);
         let Some(host) = self.host(h) else { return false };
-        let read = self.read_expected(t, h);
-        let by = task.due.min(task.stop).saturating_sub(self.now).as_secs_f64();
-        host.reading <= 0.0 || read + self.first_time < by
+        let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
+        // What brings less than the most may wait for less than what brings the most.
+        let wait = self.tightest * task.rank;
+        let trial = host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
+        let in_turn = task.rank >= 1.0 || host.haste.value() * self.to_read(h) < wait;
+        trial || (in_turn && self.read_expected(t, h) + self.first_time < by)
     }
 
     fn read_expected(&self, t: usize, h: u32) -> f64 {
         let (Some(order), Some(host)) = (self.tasks[t].order, self.host(h)) else { return 0.0 };
         let net = f64::from(order.prompt_tokens) - f64::from(self.kept(&order, h));
-        host.haste.value() * (host.reading + net + STEP)
+        host.haste.value() * (self.to_read(h) + net + STEP)
     }
 
     fn can_write(&self, h: u32, part: Part, writers_read: bool) -> bool {
@@ -758,9 +785,13 @@
 
     /// Overload: what the writers have no memory for is bounced before it is read; what is beyond a customer's
     /// share goes first, then what brings less gain.
-    fn admit(&mut self, t: usize) -> bool {
+    fn admit(&self, t: usize) -> bool {
+        self.fill() < 0.75 + 0.25 * self.tasks[t].rank
+    }
+
+    /// The gain of a task against the most that any brings; beyond its customer's share it brings less.
+    fn rank(&mut self, order: &Order, offering: usize) -> f64 {
         let now = self.now;
-        let Some(order) = self.tasks[t].order else { return false };
         let dispatchers = self.dispatchers;
         let mut within = true;
         if let Some(customer) = order.customer.and_then(|c| self.customers.get_mut(c as usize)) {
@@ -775,9 +806,8 @@
             }
         }
         let most = self.offerings.iter().map(|offering| offering.gain).fold(0.0, f64::max);
-        let gain = self.offerings[self.tasks[t].offering].gain / most.max(0.001);
         let over = if within { 1.0 } else { self.terms.number("over_share_gain").unwrap_or(1.0) };
-        self.fill() < 0.75 + 0.25 * gain * over
+        over * self.offerings[offering].gain / most.max(0.001)
     }
 
     fn plan(&mut self, t: usize) {
@@ -934,8 +964,7 @@
             Part::Read => f64::from(order.prompt_tokens) - f64::from(assumed),
             _ => f64::from(order.prompt_tokens) + output,
         };
-        let before =
-            self.host(h).map_or(0.0, |host| if part == Part::Read { host.reading } else { host.writing });
+        let before = if part == Part::Read { self.to_read(h) } else { 0.0 };
         let queue = before + charge;
         self.tasks[t].shots.push(Shot {
             host: h,
