Give shared texts two home readers by a hash that all dispatchers share; bounce at once

Tasks that no reader could read in time were also held for half their agreed time before the bounce. Also holds against dispatchers that were restarted; may hurt where few texts carry most traffic.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -6,7 +6,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 use tulipstall::Rules;
-use tulipstall::door::Door;
+use tulipstall::door::{Door, mark};
 use tulipstall::interface::{Action, Closed, Event, Key, Listed, Order, Outcome, Standing, Term};
 
 /// One entry of a numbered list, as the process keeps it.
@@ -157,6 +157,7 @@
             let up_for = clock.saturating_sub(row.online_since);
             listed.push(Listed {
                 host,
+                mark: mark(&row.host),
                 up_for: (row.online_since > 0).then(|| Duration::from_micros(up_for)),
                 cell: row.cell,
                 zone,
--- a/src/door.rs
+++ b/src/door.rs
@@ -1,13 +1,21 @@
 //! Names to small indices, one door for each dispatcher. Every table here is bounded.
 
 use crate::interface::Key;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHasher};
 use slab::Slab;
+use std::hash::Hasher;
 
 /// Memory bounds only: far above what a dispatcher has in use at once.
 const NAMES: usize = 4096;
 const KEYS: usize = 65_536;
 
+/// A name's hash, without a seed, so that every dispatcher has the same.
+pub fn mark(name: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
 /// Names that are not given back: hosts, zones, kinds, offerings, customers.
 #[derive(Default)]
 pub struct Names {
@@ -81,8 +89,9 @@
 
 impl Keys {
     pub fn enter(&mut self, name: &str) -> Key {
+        let mark = mark(name);
         if let Some(&place) = self.index.get(name) {
-            return Key { place, turn: self.owners[place as usize].1 };
+            return Key { place, turn: self.owners[place as usize].1, mark };
         }
         let place = self.next;
         self.next = (self.next + 1) % KEYS;
@@ -92,11 +101,11 @@
                 self.index.remove(owner.as_str());
                 name.clone_into(owner);
                 *turn = turn.wrapping_add(1);
-                Key { place: place as u32, turn: *turn }
+                Key { place: place as u32, turn: *turn, mark }
             }
             None => {
                 self.owners.push((name.to_owned(), 1));
-                Key { place: place as u32, turn: 1 }
+                Key { place: place as u32, turn: 1, mark }
             }
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -59,6 +59,8 @@
 pub struct Key {
     pub place: u32,
     pub turn: u32,
+    /// The name's hash: the same at every dispatcher.
+    pub mark: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +74,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Listed {
     pub host: u32,
+    /// The name's hash: the same at every dispatcher.
+    pub mark: u64,
     /// How long the process has run; absent: a long time.
     pub up_for: Option<Duration>,
     pub cell: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -572,14 +572,40 @@
             entry.readers.iter().find(good).map_or(0, |kept| kept.tokens.min(tokens))
         };
         let session = of(&self.sessions, order.session, order.prompt_tokens);
-        session.max(of(&self.shared, order.shared, order.shared_tokens))
+        let mut shared = of(&self.shared, order.shared, order.shared_tokens);
+        if shared == 0 && order.shared.is_some_and(|key| self.homes(key).contains(&Some(h))) {
+            shared = order.shared_tokens;
+        }
+        session.max(shared)
     }
 
+    /// The session's last reader, else the shared text's, else the text's home.
     fn last_reader(&self, order: &Order) -> Option<u32> {
         let of = |table: &[KeptBy], key: Option<Key>| {
             table.get(key?.place as usize).filter(|entry| Some(entry.turn) == key.map(|k| k.turn))?.last
         };
-        of(&self.sessions, order.session).or_else(|| of(&self.shared, order.shared))
+        let last = of(&self.sessions, order.session).or_else(|| of(&self.shared, order.shared));
+        last.or_else(|| self.homes(order.shared?)[0])
+    }
+
+    /// The two readers where a shared text is at home: ranked by a hash of both, so that dispatchers that cannot
+    /// talk bring one text to the same readers, and the readers' memory holds more texts. A text that is not known
+    /// to be kept anywhere is thought kept there; the first note on a read corrects that.
+    fn homes(&self, key: Key) -> [Option<u32>; 2] {
+        let mut homes = [(0, None); 2];
+        for (h, host) in self.hosts.iter().enumerate() {
+            let Some(host) = host.as_ref().filter(|host| host.role == Role::Reader && host.running) else {
+                continue;
+            };
+            let mut mixed = Chance(key.mark ^ host.listed.mark);
+            let rank = (u64::from(mixed.next()) << 32 | u64::from(mixed.next()), Some(h as u32));
+            if rank > homes[0] {
+                homes = [rank, homes[0]];
+            } else if rank > homes[1] {
+                homes[1] = rank;
+            }
+        }
+        homes.map(|(_, h)| h)
     }
 
     /// Whether the effect rules, the list, the cold budget and the operators' credit let this shot go there.
@@ -854,6 +880,7 @@
                 task.want.wake = Some(now + patience).filter(|at| cancel && *at < stop);
                 task.want.keep = true;
             }
+            None if task.want.answer.is_some() => {}
             None => {
                 let wait = Duration::from_millis(10);
                 let last = if held.is_some() { task.release_by } else { arrived + (due - arrived) / 2 };
@@ -899,6 +926,7 @@
             && self.tasks[t].shots.is_empty()
             && !self.read_in_time(t, h)
         {
+            self.give_up(t);
             return None;
         }
         match (reader, whole, writer) {
