--- a/src/rules.rs
+++ b/src/rules.rs
@@ -92,7 +92,8 @@
     suspected_at: Duration,
     credit: f64,
     /// Seconds a token: to read or to a first token, and between tokens; when last heard.
-    haste: Ratio,
+    reads: Ratio,
+    firsts: Ratio,
     pace: Ratio,
     heard: Duration,
     full_until: Duration,
@@ -115,6 +116,8 @@
     host: u32,
     part: Part,
     sent: Duration,
+    /// Its tokens: those to read until it is read, those of its stream until it has ended.
+    net: f64,
     charge: f64,
     /// Own pending tokens at the host when it went, this shot's included.
     queue: f64,
@@ -175,6 +178,8 @@
     /// The agreed time, in seconds, of the offering that brings the most.
     tightest: f64,
     long_prompt: f64,
+    /// Scratch for one pick.
+    counts: Vec<f64>,
     orders: f64,
     orders_at: Duration,
     /// Typical seconds to read, and from the shot at a writer to its first token.
@@ -244,6 +249,7 @@
             shared: Vec::new(),
             dispatchers: terms.number("dispatchers").unwrap_or(1.0).max(1.0),
             long_prompt: 2000.0,
+            counts: Vec::new(),
             orders: 0.0,
             orders_at: Duration::ZERO,
             read_time: 0.0,
@@ -352,7 +358,8 @@
                 suspected_at: now,
                 // A further shot or two may be needed before a host's first answers are in.
                 credit: 2.0,
-                haste: Ratio::default(),
+                reads: Ratio::default(),
+                firsts: Ratio::default(),
                 pace: Ratio::default(),
                 heard: now,
                 full_until: now,
@@ -431,16 +438,18 @@
         let Some(shot) = task.shots.get_mut(shot) else { return };
         shot.started = Some(now);
         let waited = (now - shot.sent).as_secs_f64();
-        let (h, write) = (shot.host, shot.part == Part::Write);
-        if write {
+        let (h, part, queue, net) = (shot.host, shot.part, shot.queue, shot.net);
+        if part == Part::Write {
             self.first_time = blend(self.first_time, waited, 0.05);
         }
         if let Some(host) = self.host_mut(h) {
             host.suspicion *= 0.6;
             host.credit = (host.credit + 0.2).min(10.0);
-            if write {
-                host.haste.add(waited, 1.0);
+            match part {
+                Part::Write => host.firsts.add(waited, 1.0),
+                _ => host.reads.add(waited, queue + STEP),
             }
+            host.reading -= net;
             host.heard = now;
         }
         self.plan(t);
@@ -457,7 +466,8 @@
         shot.out = false;
         shot.may_have_run = shot.part != Part::Read && !closed.outcome.never_ran();
         shot.failed = !matches!(closed.outcome, Outcome::Delivered | Outcome::Read);
-        let (h, part, sent, charge, started) = (shot.host, shot.part, shot.sent, shot.charge, shot.started);
+        let (h, part, sent, started) = (shot.host, shot.part, shot.sent, shot.started);
+        let (net, charge) = (shot.net, shot.charge);
         let (assumed, queue, cancelled) = (shot.assumed, shot.queue, shot.cancelled);
         match closed.outcome {
             Outcome::Read => task.held_by = Some(h),
@@ -469,6 +479,12 @@
         if let Some(load) = &closed.load {
             self.reported(h, load);
         }
+        if closed.outcome == Outcome::Delivered
+            && part == Part::Whole
+            && let Some(order) = order
+        {
+            self.note_kept(&order, h);
+        }
         if closed.outcome == Outcome::Read {
             self.read_time = blend(self.read_time, waited, 0.05);
             if let Some(order) = order {
@@ -477,18 +493,15 @@
         }
         let Some(host) = self.host_mut(h) else { return };
         host.shots_out = host.shots_out.saturating_sub(1);
-        if part == Part::Read {
-            host.reading -= charge
-        } else {
-            host.writing -= charge
-        }
+        host.reading -= if started.is_none() { net } else { 0.0 };
+        host.writing -= charge;
         if host.shots_out == 0 {
             (host.reading, host.writing) = (0.0, 0.0);
         }
         let blame = match closed.outcome {
             Outcome::Read | Outcome::Delivered => {
                 if part == Part::Read {
-                    host.haste.add(waited, queue + STEP);
+                    host.reads.add(waited, queue + STEP);
                     // What the note says was kept counts: a host that forgot a text has forgotten all of them.
                     if assumed > 0 && closed.kept_tokens == 0 {
                         host.forgot = now;
@@ -668,17 +681,19 @@
     /// How many times slower than its peers a host has been of late; 1 where it is within the usual spread.
     fn slow(&self, h: u32) -> f64 {
         let Some(host) = self.host(h) else { return 1.0 };
-        let (mut haste, mut pace) = (Ratio::default(), Ratio::default());
+        let (mut reads, mut firsts, mut pace) = (Ratio::default(), Ratio::default(), Ratio::default());
         for (i, peer) in self.hosts.iter().enumerate() {
             let Some(peer) = peer.as_ref().filter(|peer| peer.role == host.role && peer.running) else {
                 continue;
             };
             if i as u32 != h {
-                haste.join(&peer.haste);
+                reads.join(&peer.reads);
+                firsts.join(&peer.firsts);
                 pace.join(&peer.pace);
             }
         }
-        let worst = host.haste.against(&haste).max(host.pace.against(&pace));
+        let worst =
+            host.reads.against(&reads).max(host.firsts.against(&firsts)).max(host.pace.against(&pace));
         // Under 1.6 is the spread of sound hosts; what was seen is let go of in ten seconds, so that it is tried.
         if worst < 1.6 { 1.0 } else { 1.0 + (worst.min(10.0) - 1.0) * decay(host.heard, self.now, 10.0) }
     }
@@ -741,18 +756,18 @@
         let from = task.held_by.and_then(|h| self.host(h)).map(|host| (host.listed.cell, host.listed.zone));
         let writers_read = self.terms.flag("service.writers_read");
         let mut fewest = f64::INFINITY;
+        let mut counts = std::mem::take(&mut self.counts);
+        counts.clear();
         for h in 0..self.hosts.len() as u32 {
-            if self.can_write(h, part, writers_read) && self.may_send(t, h, part) {
-                fewest = fewest.min(self.pending(h, part, charge));
-            }
+            let fit = self.can_write(h, part, writers_read) && self.may_send(t, h, part);
+            let kept = if part == Part::Whole { f64::from(self.kept(&order, h)) } else { 0.0 };
+            counts.push(if fit { self.pending(h, part, charge - kept) } else { f64::INFINITY });
+            fewest = fewest.min(counts[h as usize]);
         }
         // The small margin is this task's own charge: what one pick can tip.
         let (mut best, mut rank) = (None, (3, 0));
         for h in 0..self.hosts.len() as u32 {
-            if !self.can_write(h, part, writers_read) || !self.may_send(t, h, part) {
-                continue;
-            }
-            if self.pending(h, part, charge) > fewest + charge {
+            if !counts[h as usize].is_finite() || counts[h as usize] > fewest + charge {
                 continue;
             }
             let near = match (from, self.host(h)) {
@@ -765,6 +780,7 @@
                 (best, rank) = (Some(h), this);
             }
         }
+        self.counts = counts;
         best.map(|h| (h, fewest))
     }
 
@@ -777,14 +793,14 @@
         // What brings less than the most may wait for less than what brings the most.
         let wait = self.tightest * task.rank;
         let trial = host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
-        let in_turn = task.rank >= 1.0 || host.haste.value() * self.to_read(h) < wait;
+        let in_turn = task.rank >= 1.0 || host.reads.value() * self.to_read(h) < wait;
         trial || (in_turn && self.read_expected(t, h) + self.first_time < by)
     }
 
     fn read_expected(&self, t: usize, h: u32) -> f64 {
         let (Some(order), Some(host)) = (self.tasks[t].order, self.host(h)) else { return 0.0 };
         let net = f64::from(order.prompt_tokens) - f64::from(self.kept(&order, h));
-        host.haste.value() * (self.to_read(h) + net + STEP)
+        host.reads.value() * (self.to_read(h) + net + STEP)
     }
 
     fn can_write(&self, h: u32, part: Part, writers_read: bool) -> bool {
@@ -864,8 +880,7 @@
         };
         let agreed = (due - arrived).as_secs_f64();
         let expected = match pick {
-            Some((h, Part::Read)) => self.read_expected(t, h),
-            Some((_, Part::Whole)) => self.read_time + self.first_time,
+            Some((h, Part::Read | Part::Whole)) => self.read_expected(t, h),
             _ => self.first_time,
         };
         let task = &mut self.tasks[t];
@@ -921,19 +936,22 @@
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
-        let writer = if reader.is_some() { self.pick_writer(t, Part::Write) } else { None };
-        if let Some((h, _)) = reader
-            && self.tasks[t].shots.is_empty()
-            && !self.read_in_time(t, h)
-        {
-            self.give_up(t);
-            return None;
-        }
+        let writer =
+            if reader.is_some() && whole.is_some() { self.pick_writer(t, Part::Write) } else { None };
+        let first = self.tasks[t].shots.is_empty();
+        let late = |h: u32| first && !self.read_in_time(t, h);
+        let reader = reader.filter(|(h, _)| !late(*h)).ok_or(reader.is_some());
+        let whole = whole.filter(|(h, _)| !late(*h)).ok_or(whole.is_some());
         match (reader, whole, writer) {
-            (Some(_), Some((h, count)), Some((_, fewest))) if count <= fewest => Some((h, Part::Whole)),
-            (Some(reader), _, _) => Some(reader),
-            (None, Some((h, _)), _) => Some((h, Part::Whole)),
-            (None, None, _) => None,
+            (Ok(_), Ok((h, count)), Some((_, fewest))) if count <= fewest => Some((h, Part::Whole)),
+            (Ok(reader), _, _) => Some(reader),
+            // No reader, or none in time: a mixed host reads it too.
+            (Err(_), Ok((h, _)), _) => Some((h, Part::Whole)),
+            (Err(false), Err(false), _) => None,
+            (Err(_), Err(_), _) => {
+                self.give_up(t);
+                None
+            }
         }
     }
 
@@ -987,17 +1005,16 @@
         let Some((h, part, until)) = task.want.shot.take() else { return };
         let Some(order) = task.order else { return };
         let output = task.output;
-        let assumed = if part == Part::Read { self.kept(&order, h) } else { 0 };
-        let charge = match part {
-            Part::Read => f64::from(order.prompt_tokens) - f64::from(assumed),
-            _ => f64::from(order.prompt_tokens) + output,
-        };
-        let before = if part == Part::Read { self.to_read(h) } else { 0.0 };
-        let queue = before + charge;
+        let prompt = f64::from(order.prompt_tokens);
+        let assumed = if part == Part::Write { 0 } else { self.kept(&order, h) };
+        let net = if part == Part::Write { 0.0 } else { prompt - f64::from(assumed) };
+        let charge = if part == Part::Read { 0.0 } else { prompt + output };
+        let queue = self.to_read(h) + net;
         self.tasks[t].shots.push(Shot {
             host: h,
             part,
             sent: now,
+            net,
             charge,
             queue,
             cancelled: false,
@@ -1009,11 +1026,8 @@
         });
         if let Some(host) = self.host_mut(h) {
             host.shots_out += 1;
-            if part == Part::Read {
-                host.reading += charge
-            } else {
-                host.writing += charge
-            }
+            host.reading += net;
+            host.writing += charge;
             host.rate = host.rate * decay(host.rate_at, now, 4.0) + 0.25;
             host.rate_at = now;
             host.budget -= 1.0;
