Deduct kept tokens only as far as recent notes bore them out

Cause: after a flush each dispatcher still deducted texts that no reader kept and admitted five times the work. Replaces the mark that voided a host's entries. Also holds against readers that drop texts for want of memory; may hurt for some reads after a hot text goes cold.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -97,7 +97,8 @@
     pace: Ratio,
     heard: Duration,
     full_until: Duration,
-    forgot: Duration,
+    /// Tokens that notes said were kept, over those thought kept.
+    trust: Ratio,
     /// Cold budget in shots, and own shots a second.
     budget: f64,
     budget_at: Duration,
@@ -344,6 +345,7 @@
                 _ => Role::Unknown,
             };
             let memory = kind("kind_memory_tokens").and_then(|name| self.terms.number(&name));
+            let cold = warm_at > now;
             let fresh = Host {
                 listed: *line,
                 role,
@@ -363,7 +365,7 @@
                 pace: Ratio::default(),
                 heard: now,
                 full_until: now,
-                forgot: now,
+                trust: Ratio { spent: if cold { 0.0 } else { 2000.0 }, done: 2000.0 },
                 budget: 0.0,
                 budget_at: now,
                 rate: 0.0,
@@ -502,9 +504,9 @@
             Outcome::Read | Outcome::Delivered => {
                 if part == Part::Read {
                     host.reads.add(waited, queue + STEP);
-                    // What the note says was kept counts: a host that forgot a text has forgotten all of them.
-                    if assumed > 0 && closed.kept_tokens == 0 {
-                        host.forgot = now;
+                    // What the note says was kept counts: a host that forgot one text has likely forgotten more.
+                    if assumed > 0 {
+                        host.trust.add(f64::from(closed.kept_tokens.min(assumed)), f64::from(assumed));
                     }
                 } else if let Some(started) = started {
                     host.pace.add((now - started).as_secs_f64(), output.max(1.0));
@@ -574,14 +576,8 @@
         let of = |table: &[KeptBy], key: Option<Key>, tokens: u32| {
             let Some(key) = key else { return 0 };
             let Some(entry) = table.get(key.place as usize).filter(|e| e.turn == key.turn) else { return 0 };
-            let forgot = self.host(h).map_or(Duration::ZERO, |host| host.forgot);
             // Kept texts give way to newer ones in time: a minute is a session's think time many times over.
-            let good = |kept: &&Kept| {
-                kept.host == h
-                    && kept.tokens > 0
-                    && kept.at >= forgot
-                    && self.now - kept.at < Duration::from_secs(60)
-            };
+            let good = |kept: &&Kept| kept.host == h && self.now - kept.at < Duration::from_secs(60);
             entry.readers.iter().find(good).map_or(0, |kept| kept.tokens.min(tokens))
         };
         let session = of(&self.sessions, order.session, order.prompt_tokens);
@@ -592,6 +588,12 @@
         session.max(shared)
     }
 
+    /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of late.
+    fn net(&self, order: &Order, h: u32) -> f64 {
+        let trust = self.host(h).map_or(0.0, |host| host.trust.value());
+        f64::from(order.prompt_tokens) - f64::from(self.kept(order, h)) * trust
+    }
+
     /// The session's last reader, else the shared text's, else the text's home.
     fn last_reader(&self, order: &Order) -> Option<u32> {
         let of = |table: &[KeptBy], key: Option<Key>| {
@@ -728,14 +730,13 @@
 
     fn pick_reader(&mut self, t: usize) -> Option<(u32, Part)> {
         let order = self.tasks[t].order?;
-        let prompt = f64::from(order.prompt_tokens);
         let (mut best, mut count, mut last) = (None, f64::INFINITY, f64::INFINITY);
         let last_reader = self.last_reader(&order);
         for h in 0..self.hosts.len() as u32 {
             if self.host(h).is_none_or(|host| host.role != Role::Reader) || !self.may_send(t, h, Part::Read) {
                 continue;
             }
-            let pending = self.pending(h, Part::Read, prompt - f64::from(self.kept(&order, h)));
+            let pending = self.pending(h, Part::Read, self.net(&order, h));
             if pending < count {
                 (best, count) = (Some(h), pending);
             }
@@ -752,7 +753,8 @@
     fn pick_writer(&mut self, t: usize, part: Part) -> Option<(u32, f64)> {
         let task = &self.tasks[t];
         let order = task.order?;
-        let charge = f64::from(order.prompt_tokens) + task.output;
+        let output = task.output;
+        let charge = f64::from(order.prompt_tokens) + output;
         let from = task.held_by.and_then(|h| self.host(h)).map(|host| (host.listed.cell, host.listed.zone));
         let writers_read = self.terms.flag("service.writers_read");
         let mut fewest = f64::INFINITY;
@@ -760,8 +762,8 @@
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
             let fit = self.can_write(h, part, writers_read) && self.may_send(t, h, part);
-            let kept = if part == Part::Whole { f64::from(self.kept(&order, h)) } else { 0.0 };
-            counts.push(if fit { self.pending(h, part, charge - kept) } else { f64::INFINITY });
+            let net = if part == Part::Whole { self.net(&order, h) } else { f64::from(order.prompt_tokens) };
+            counts.push(if fit { self.pending(h, part, output + net) } else { f64::INFINITY });
             fewest = fewest.min(counts[h as usize]);
         }
         // The small margin is this task's own charge: what one pick can tip.
@@ -799,7 +801,7 @@
 
     fn read_expected(&self, t: usize, h: u32) -> f64 {
         let (Some(order), Some(host)) = (self.tasks[t].order, self.host(h)) else { return 0.0 };
-        let net = f64::from(order.prompt_tokens) - f64::from(self.kept(&order, h));
+        let net = self.net(&order, h);
         host.reads.value() * (self.to_read(h) + net + STEP)
     }
 
@@ -1007,7 +1009,7 @@
         let output = task.output;
         let prompt = f64::from(order.prompt_tokens);
         let assumed = if part == Part::Write { 0 } else { self.kept(&order, h) };
-        let net = if part == Part::Write { 0.0 } else { prompt - f64::from(assumed) };
+        let net = if part == Part::Write { 0.0 } else { self.net(&order, h) };
         let charge = if part == Part::Read { 0.0 } else { prompt + output };
         let queue = self.to_read(h) + net;
         self.tasks[t].shots.push(Shot {
