Pick by chance among readers within a step; bar lost causes at once; add tables of tests

Found by the new tables: a reader that had failed never got traffic back while its peers idled, all equal counts went to the lowest index, and a single-use task that may have run waited before its break-off.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,6 +16,10 @@
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
     }
 
+    fn below(&mut self, bound: usize) -> usize {
+        (u64::from(self.next()) * bound as u64 >> 32) as usize
+    }
+
     fn share(&mut self) -> f64 {
         f64::from(self.next()) / f64::from(u32::MAX)
     }
@@ -473,7 +477,7 @@
         let (assumed, queue, cancelled) = (shot.assumed, shot.queue, shot.cancelled);
         match closed.outcome {
             Outcome::Read => task.held_by = Some(h),
-            Outcome::NoState => task.held_by = None,
+            Outcome::NoState | Outcome::Delivered => task.held_by = None,
             _ => {}
         }
         let (order, output) = (task.order, task.output);
@@ -652,6 +656,18 @@
         self.cold_budget(h) >= 1.0
     }
 
+    /// Whether the effect rules bar every further shot, wherever it might go.
+    fn barred(&self, t: usize) -> bool {
+        let task = &self.tasks[t];
+        let terms = &self.offerings[task.offering];
+        let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
+        match terms.effect {
+            Effect::Replayable => false,
+            Effect::Referenced => ran.any(|shot| self.now >= shot.sent + terms.window),
+            Effect::SingleUse => ran.next().is_some(),
+        }
+    }
+
     /// Shots that a cold host may be sent now. It fills at the part of a warm peer's own traffic that the host
     /// can do for certain, never above one shot, and starts empty: no burst, and what was forgotten at a restart
     /// of this dispatcher cannot be spent twice.
@@ -730,23 +746,25 @@
 
     fn pick_reader(&mut self, t: usize) -> Option<(u32, Part)> {
         let order = self.tasks[t].order?;
-        let (mut best, mut count, mut last) = (None, f64::INFINITY, f64::INFINITY);
-        let last_reader = self.last_reader(&order);
+        let mut counts = std::mem::take(&mut self.counts);
+        counts.clear();
         for h in 0..self.hosts.len() as u32 {
-            if self.host(h).is_none_or(|host| host.role != Role::Reader) || !self.may_send(t, h, Part::Read) {
-                continue;
-            }
-            let pending = self.pending(h, Part::Read, self.net(&order, h));
-            if pending < count {
-                (best, count) = (Some(h), pending);
-            }
-            if last_reader == Some(h) {
-                last = pending;
-            }
+            let reader = self.host(h).is_some_and(|host| host.role == Role::Reader);
+            let fit = reader && self.may_send(t, h, Part::Read);
+            counts.push(if fit { self.pending(h, Part::Read, self.net(&order, h)) } else { f64::INFINITY });
         }
-        // Only a last reader that may be sent to has a count: with none at all, both are without bound.
-        let stays = last.is_finite() && last <= count + self.long_prompt;
-        (if stays { last_reader } else { best }).map(|h| (h, Part::Read))
+        let fewest = counts.iter().copied().fold(f64::INFINITY, f64::min);
+        // Less than a step apart is alike: chance, so that dispatchers don't follow one another to one reader.
+        let alike = |count: &f64| count.is_finite() && *count <= fewest + STEP;
+        let which = self.chance.below(counts.iter().filter(|count| alike(count)).count());
+        let best = (0..).zip(&counts).filter(|(_, count)| alike(count)).nth(which).map(|(h, _)| h);
+        // Only a last reader that may be sent to counts: with none at all, both are without bound.
+        let stays = |h: &u32| {
+            counts.get(*h as usize).is_some_and(|c| c.is_finite() && *c <= fewest + self.long_prompt)
+        };
+        let pick = self.last_reader(&order).filter(stays).or(best);
+        self.counts = counts;
+        pick.map(|h| (h, Part::Read))
     }
 
     /// The writer or mixed host with the fewest pending tokens; near the reader, where one holds the state.
@@ -869,7 +887,7 @@
         let (arrived, due, stop) = (task.arrived, task.due, task.stop);
         let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
         let ahead = self.first_time + if held.is_some() { 0.0 } else { self.read_time };
-        if task.shots.len() >= most || now + Duration::from_secs_f64(ahead * 0.5) >= stop {
+        if task.shots.len() >= most || self.barred(t) || now + Duration::from_secs_f64(ahead * 0.5) >= stop {
             return self.give_up(t);
         }
         if first && !self.admit(t) {
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,432 @@
+//! Tables of cases for the rules, without the bench.
+
+use std::time::Duration;
+use tulipstall::Rules;
+use tulipstall::interface::Outcome::*;
+use tulipstall::interface::{
+    Action, Closed, Event, Key, Listed, Load, Order, Outcome, Standing, Term, Terms,
+};
+
+const READER: u32 = 0;
+const WRITER: u32 = 1;
+const MIXED: u32 = 2;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A dispatcher under test, its hosts, and what it asked for last.
+struct Desk {
+    rules: Rules,
+    hosts: Vec<Listed>,
+}
+
+impl Desk {
+    /// `hosts` gives each host's kind and cell.
+    fn new(extra: &[(&str, &str)], hosts: &[(u32, u32)]) -> Desk {
+        let base = "dispatchers=2 offerings.0.agreed_time_us=1500000 offerings.0.gain=1 offerings.0.effect=replayable \
+            offerings.0.group=all offerings.0.window_us=5000000 service.token_pace_us.0=60000 \
+            service.role_by_kind.0=read service.role_by_kind.1=write service.role_by_kind.2=both \
+            service.kind_memory_tokens.0=200000 service.kind_memory_tokens.1=150000 \
+            service.kind_memory_tokens.2=200000 service.release_us=500000 allowed.max_shots=6 allowed.cancel=true \
+            allowed.come_back=true allowed.max_come_back_us=1000000 rules.cold_from=0.3 rules.warm_up_us=10000000 \
+            report.fields.0=x1 customers.0.quota_per_s=1000 over_share_gain=0.1";
+        let mut terms = Terms::default();
+        let base = base.split_whitespace().filter_map(|pair| pair.split_once('='));
+        for (name, value) in base.chain(extra.iter().copied()) {
+            let value = match (value, value.parse()) {
+                ("true" | "false", _) => Term::Flag(value == "true"),
+                (_, Ok(number)) => Term::Number(number),
+                _ => Term::Text(value.to_owned()),
+            };
+            terms.0.insert(name.to_owned(), value);
+        }
+        let listed = |(i, (kind, cell)): (usize, &(u32, u32))| Listed {
+            host: i as u32,
+            mark: i as u64 * 7919 + 1,
+            up_for: None,
+            cell: *cell,
+            zone: *cell,
+            weight: 1.0,
+            kind: Some(*kind),
+            standing: Standing::Running,
+        };
+        let hosts: Vec<Listed> = hosts.iter().enumerate().map(listed).collect();
+        let mut desk = Desk { rules: Rules::new(7, &terms), hosts };
+        desk.tell(0, Event::Hosts { whole: true, listed: desk.hosts.clone() });
+        desk
+    }
+
+    fn tell(&mut self, at: u64, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.rules.on(ms(at), &event, &mut out);
+        out
+    }
+
+    fn list(&mut self, at: u64, host: u32, standing: Standing, up_for: Option<Duration>) -> Vec<Action> {
+        let line = Listed { standing, up_for, ..self.hosts[host as usize] };
+        self.tell(at, Event::Hosts { whole: false, listed: vec![line] })
+    }
+
+    fn order(&mut self, at: u64, task: u32, session: u32, prompt_tokens: u32) -> Vec<Action> {
+        let session = Some(Key { place: session, turn: 1, mark: u64::from(session) });
+        let order = Order {
+            task,
+            offering: Some(0),
+            customer: Some(0),
+            session,
+            shared: None,
+            left: ms(4000),
+            hint: None,
+            prompt_tokens,
+            shared_tokens: 0,
+            most_tokens: 200,
+            again: false,
+        };
+        self.tell(at, Event::Order(order))
+    }
+
+    fn close(&mut self, at: u64, task: u32, shot: u32, outcome: Outcome) -> Vec<Action> {
+        let finished = outcome == Delivered;
+        let closed = Closed { task, shot, outcome, finished, kept_tokens: 0, load: None };
+        self.tell(at, Event::Closed(closed))
+    }
+
+    /// A task read and answered; the reader and the writer it went to.
+    fn serve(&mut self, at: u64, task: u32, session: u32, prompt: u32) -> (Option<u32>, Option<u32>) {
+        let reader = sent(&self.order(at, task, session, prompt));
+        let writer = sent(&self.close(at + 50, task, 0, Read));
+        self.tell(at + 80, Event::Started { task, shot: 1 });
+        self.close(at + 100, task, 1, Delivered);
+        (reader, writer)
+    }
+}
+
+fn sent(actions: &[Action]) -> Option<u32> {
+    actions.iter().find_map(|action| if let Action::Send { host, .. } = action { Some(*host) } else { None })
+}
+
+/// The answer and the release among the actions, as letters: B bounce, X break-off, R release, S send.
+fn letters(actions: &[Action]) -> String {
+    let letter = |action: &Action| match action {
+        Action::Bounce { .. } => Some('B'),
+        Action::BreakOff { .. } => Some('X'),
+        Action::Release { .. } => Some('R'),
+        Action::Send { .. } => Some('S'),
+        _ => None,
+    };
+    let mut found: Vec<char> = actions.iter().filter_map(letter).collect();
+    found.sort_unstable();
+    found.into_iter().collect()
+}
+
+#[test]
+fn each_outcome_has_its_own_next_step() {
+    // The outcomes of the read and, where it ended well, of the shot at the writer; what the last one leads to.
+    let cases: &[(&[Outcome], &str)] = &[
+        (&[Read], "S"),
+        (&[Error], "S"),
+        (&[NoConnection], "S"),
+        (&[Full], "S"),
+        (&[Read, Full], "S"),
+        (&[Read, NoState], "S"),
+        (&[Read, Error], "S"),
+        (&[Read, Broken], "S"),
+        (&[Read, TimedOut], "S"),
+        (&[Read, Delivered], ""),
+        (&[Error, Error, Error, Error, Error, Error], "B"),
+    ];
+    for (outcomes, expected) in cases {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        for i in 0..40 {
+            desk.serve(i * 200, i as u32, i as u32, 1000);
+        }
+        let mut last = desk.order(9000, 99, 99, 1000);
+        for (shot, outcome) in outcomes.iter().enumerate() {
+            last = desk.close(9010 + shot as u64 * 5, 99, shot as u32, *outcome);
+        }
+        assert_eq!(letters(&last), *expected, "after {outcomes:?}");
+    }
+}
+
+#[test]
+fn effects_are_not_repeated() {
+    // Effect, group, outcome of the first shot at a mixed host in cell 0, when; the hosts that may follow, else
+    // the answer. Hosts: 0 and 1 in cell 0, 2 in cell 1.
+    let cases: &[(&str, &str, Outcome, u64, &[u32], &str)] = &[
+        ("replayable", "cell", Error, 100, &[0, 1, 2], ""),
+        ("referenced", "all", Error, 100, &[0, 1, 2], ""),
+        ("referenced", "cell", Error, 100, &[0, 1], ""),
+        ("referenced", "zone", TimedOut, 100, &[0, 1], ""),
+        ("referenced", "all", Error, 900, &[], "B"),
+        ("referenced", "cell", Error, 900, &[], "X"),
+        ("referenced", "cell", NoConnection, 100, &[0, 1, 2], ""),
+        ("single-use", "all", Error, 100, &[], "X"),
+        ("single-use", "all", Broken, 100, &[], "X"),
+        ("single-use", "all", TimedOut, 100, &[], "X"),
+        ("single-use", "all", Cancelled, 100, &[], "X"),
+        ("single-use", "all", NoConnection, 100, &[0, 1, 2], ""),
+        ("single-use", "all", Full, 100, &[0, 1, 2], ""),
+    ];
+    for (effect, group, outcome, after, may, answer) in cases {
+        for busy in 0..3u32 {
+            let extra = [
+                ("offerings.0.effect", *effect),
+                ("offerings.0.group", *group),
+                ("offerings.0.window_us", "800000"),
+            ];
+            let mut desk = Desk::new(&extra, &[(MIXED, 0), (MIXED, 0), (MIXED, 1)]);
+            desk.list(1, 2, Standing::Draining, None);
+            desk.list(1, 1, Standing::Draining, None);
+            assert_eq!(sent(&desk.order(2, 9, 9, 1000)), Some(0));
+            desk.list(3, busy, Standing::Draining, None);
+            for host in (0..3).filter(|host| *host != busy) {
+                desk.list(4, host, Standing::Running, None);
+            }
+            let mut next = desk.close(2 + after, 9, 0, *outcome);
+            if letters(&next).is_empty() {
+                // A host just found full is not asked again at once.
+                next = desk.tell(2 + after + 150, Event::Timer { token: 9 << 32 | 1 });
+            }
+            match sent(&next) {
+                Some(host) => assert!(may.contains(&host), "{effect} {group} {outcome:?} went to {host}"),
+                None if !answer.is_empty() => {
+                    assert_eq!(letters(&next), *answer, "{effect} {group} {outcome:?}")
+                }
+                None => assert!(
+                    may.iter().all(|host| *host == busy),
+                    "{effect} {group} {outcome:?} did not go on"
+                ),
+            }
+        }
+    }
+}
+
+#[test]
+fn nothing_new_goes_to_a_host_that_drains_or_is_gone() {
+    for standing in [Standing::Draining, Standing::Gone] {
+        for part in [0, 2] {
+            let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+            desk.order(10, 1, 1, 1000);
+            desk.list(20, part, standing, None);
+            let after_read = desk.close(30, 1, 0, Read);
+            assert_ne!(sent(&after_read), Some(part));
+            for task in 2..30 {
+                let actions = desk.order(30 + u64::from(task), task, 1, 1000);
+                assert_ne!(sent(&actions), Some(part), "{standing:?}");
+            }
+        }
+    }
+    // With every reader gone nothing is sent, not even to the session's last reader.
+    let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0)]);
+    desk.serve(0, 1, 1, 1000);
+    desk.list(200, 0, Standing::Gone, None);
+    desk.list(200, 1, Standing::Gone, None);
+    assert_eq!(sent(&desk.order(210, 2, 1, 1000)), None);
+}
+
+#[test]
+fn a_cold_host_is_sent_little() {
+    // Ages of the cold host in milliseconds; the most shots it may get in the next 1.5 s of 20 tasks a second
+    // over three readers: a third of the traffic, times the part that it can do, and one to begin with.
+    for (age, most) in [(0, 5), (3000, 6), (9000, 11), (20_000, 40)] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        for i in 0..100 {
+            desk.serve(i * 50, i as u32, i as u32, 1000);
+        }
+        desk.list(5000, 0, Standing::Running, Some(ms(age)));
+        let reader = |i: u64| desk.serve(5000 + i * 50, 200 + i as u32, 200 + i as u32, 1000).0;
+        let cold = (0..30).map(reader).filter(|reader| *reader == Some(0)).count();
+        assert!(cold <= most, "{cold} shots at the age of {age} ms");
+        assert!(age < 20_000 || cold > 3, "a warm host gets its part, not {cold}");
+    }
+    // Dispatchers that were just started know no traffic and send no burst.
+    let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+    desk.list(0, 0, Standing::Running, Some(ms(0)));
+    assert_eq!((0..50).filter(|i| sent(&desk.order(1, *i, *i, 1000)).is_some()).count(), 0);
+}
+
+#[test]
+fn held_state_is_taken_or_released_in_time() {
+    // What happens to a task whose prompt is being read; by when the state must be gone.
+    let cases: &[(&str, &[u32], u64)] =
+        &[("client gone first", &[], 130), ("no writer", &[2, 3], 630), ("all well", &[], 130)];
+    for (case, gone, by) in cases {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        desk.order(0, 1, 1, 1000);
+        for host in *gone {
+            desk.list(10, *host, Standing::Gone, None);
+        }
+        if *case == "client gone first" {
+            desk.tell(20, Event::ClientGone { task: 1 });
+        }
+        let mut actions = desk.close(130, 1, 0, Read);
+        let mut at = 130;
+        while letters(&actions).is_empty() && at < *by {
+            at += 10;
+            actions = desk.tell(at, Event::Timer { token: 1 << 32 | 1 });
+        }
+        assert!(letters(&actions).contains(['R', 'S']), "{case}: {actions:?} at {at}");
+        assert!(at <= *by, "{case}: only at {at}");
+    }
+}
+
+#[test]
+fn a_reader_is_picked_by_pending_tokens_net_of_kept_ones() {
+    // Tokens already sent to readers 0 and 1; tokens of the session's next prompt; whether its last reader (0) wins.
+    let cases: &[(&[u32], u32, bool)] =
+        &[(&[], 1500, true), (&[900], 1500, true), (&[4000, 4000], 1500, false)];
+    for (before, prompt, stays) in cases {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0)]);
+        let last = desk.serve(0, 1, 1, 1400).0.unwrap();
+        desk.list(200, 1 - last, Standing::Draining, None);
+        for (i, tokens) in before.iter().enumerate() {
+            desk.order(210, 10 + i as u32, 50 + i as u32, *tokens);
+        }
+        desk.list(220, 1 - last, Standing::Running, None);
+        assert_eq!(sent(&desk.order(230, 2, 1, *prompt)) == Some(last), *stays, "{before:?}");
+    }
+    // A late report of tokens to read counts where it is larger than the own count.
+    let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0)]);
+    let mut load = Load { count: 1, ..Load::default() };
+    load.values[0] = 30.0;
+    desk.tell(1, Event::Probed { host: 0, answered: true, load: Some(load) });
+    load.values[0] = 0.0;
+    desk.tell(1, Event::Probed { host: 1, answered: true, load: Some(load) });
+    assert!((0..6).all(|i| sent(&desk.order(2, i, i, 2000)) == Some(1)));
+}
+
+#[test]
+fn a_writer_is_picked_after_the_read_near_the_reader() {
+    let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0), (WRITER, 1)]);
+    assert_eq!(desk.serve(0, 1, 1, 1000).1, Some(1), "the reader's cell at equal counts");
+    // Streams pile up near the reader until the far writer has clearly fewer tokens.
+    let mut writers = Vec::new();
+    for task in 2..8 {
+        desk.order(200, task, task, 1000);
+        writers.extend(sent(&desk.close(210, task, 0, Read)));
+    }
+    assert!(writers.contains(&2) && writers[0] == 1, "{writers:?}");
+}
+
+#[test]
+fn failing_hosts_lose_traffic_and_get_it_back() {
+    // How reader 0's shots end; it must not look emptiest for it.
+    for outcome in [Error, NoConnection, Broken, TimedOut] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        let mut run = |from: u64, tasks: u64, bad: bool| {
+            let mut hits = 0;
+            for i in from..from + tasks {
+                let (at, task) = (i * 100, i as u32);
+                let mut reader = sent(&desk.order(at, task, task, 1000));
+                let mut shot = 0;
+                while let Some(host) = reader {
+                    hits += u64::from(host == 0);
+                    let outcome = if host == 0 && bad { outcome } else { Read };
+                    let next = sent(&desk.close(at + 20, task, shot, outcome));
+                    shot += 1;
+                    if outcome == Read {
+                        desk.tell(at + 30, Event::Started { task, shot });
+                        desk.close(at + 40, task, shot, Delivered);
+                        break;
+                    }
+                    reader = next;
+                }
+            }
+            hits
+        };
+        assert!(run(0, 30, false) > 0);
+        let hits = run(30, 100, true);
+        assert!(hits <= 15, "{outcome:?}: {hits} shots of a hundred tasks at a failing host");
+        let hits = run(300, 100, false);
+        assert!(hits > 10, "{outcome:?}: only {hits} shots once it is sound again");
+    }
+}
+
+#[test]
+fn silence_costs_a_shot_not_the_task() {
+    // Whether others were answered by the silent host, or its peer, since; whether the shot is let go of.
+    for (host_spoke, peer_spoke, lets_go) in [(false, true, true), (true, true, false), (false, false, false)]
+    {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        let silent = sent(&desk.order(0, 1, 1, 3000)).unwrap();
+        let other = sent(&desk.order(1, 2, 2, 3000)).unwrap();
+        assert_ne!(silent, other);
+        desk.list(2, other, Standing::Draining, None);
+        assert_eq!(sent(&desk.order(3, 3, 3, 100)), Some(silent));
+        if peer_spoke {
+            desk.close(100, 2, 0, Read);
+        }
+        if host_spoke {
+            desk.close(110, 3, 0, Read);
+        }
+        let actions = desk.tell(520, Event::Timer { token: 1 << 32 | 1 });
+        let cancelled = actions.iter().any(|action| matches!(action, Action::Cancel { task: 1, shot: 0 }));
+        assert_eq!(cancelled, lets_go, "host spoke {host_spoke}, peer spoke {peer_spoke}: {actions:?}");
+    }
+}
+
+#[test]
+fn a_further_shot_needs_credit() {
+    // Answers earned before; the shots that one task may then spend on a single reader that always fails.
+    for (answers, most) in [(0, 3), (5, 4)] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+        for i in 0..answers {
+            desk.serve(i * 200, i as u32, i as u32, 1000);
+        }
+        let mut shots = 0;
+        let mut next = desk.order(3000, 99, 99, 1000);
+        while sent(&next).is_some() {
+            next = desk.close(3001 + shots, 99, shots as u32, Error);
+            shots += 1;
+        }
+        assert_eq!(shots, most, "after {answers} answers");
+    }
+}
+
+#[test]
+fn overload_is_bounced_before_it_is_read() {
+    // Tokens of streams out; the customer's share; whether one more task is taken.
+    for (streams, quota, taken) in
+        [(2, "1000", true), (40, "1000", false), (30, "0.001", false), (30, "1000", true)]
+    {
+        let mut desk =
+            Desk::new(&[("customers.0.quota_per_s", quota)], &[(READER, 0), (WRITER, 0), (WRITER, 0)]);
+        for task in 0..streams {
+            let at = u64::from(task) * 60;
+            desk.order(at, task, task, 4000);
+            desk.close(at + 20, task, 0, Read);
+            desk.tell(at + 30, Event::Started { task, shot: 1 });
+        }
+        let actions = desk.order(5000, 99, 99, 1000);
+        assert_eq!(sent(&actions).is_some(), taken, "{streams} streams");
+        assert_eq!(letters(&actions), if taken { "S" } else { "B" }, "an answer at once");
+    }
+}
+
+#[test]
+fn every_task_gets_one_answer_whatever_comes_late() {
+    let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+    desk.order(0, 1, 1, 1000);
+    desk.tell(10, Event::ClientGone { task: 1 });
+    assert_eq!(letters(&desk.close(20, 1, 0, TimedOut)), "");
+    for actions in [
+        desk.close(30, 1, 0, Read),
+        desk.close(30, 77, 3, Error),
+        desk.tell(40, Event::Started { task: 1, shot: 9 }),
+        desk.tell(40, Event::Timer { token: u64::MAX }),
+        desk.tell(40, Event::ClientGone { task: 55 }),
+        desk.tell(40, Event::Place { task: 1, held: true }),
+    ] {
+        assert_eq!(letters(&actions), "");
+    }
+    // An empty list, or one role only: the task is bounced before its own time is up.
+    let mut desk = Desk::new(&[], &[(WRITER, 0)]);
+    let mut actions = desk.order(0, 1, 1, 1000);
+    for at in (10..4000).step_by(10) {
+        if letters(&actions).is_empty() {
+            actions = desk.tell(at, Event::Timer { token: 1 << 32 | 1 });
+        }
+    }
+    assert_eq!(letters(&actions), "B");
+}
