--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,15 +63,16 @@
     pub mark: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Running,
     Draining,
+    #[default]
     Gone,
 }
 
 /// One line of the list of hosts.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Listed {
     pub host: u32,
     /// The name's hash: the same at every dispatcher.
@@ -118,7 +119,7 @@
     pub count: usize,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Order {
     pub task: u32,
     pub offering: Option<u32>,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -123,7 +123,8 @@
 #[test]
 fn each_outcome_has_its_own_next_step() {
     // The outcomes of the read and, where it ended well, of the shot at the writer; what the last one leads to.
-    let cases: &[(&[Outcome], &str)] = &[
+    type Case<'a> = (&'a [Outcome], &'a str);
+    let cases: &[Case] = &[
         (&[Read], "S"),
         (&[Error], "S"),
         (&[NoConnection], "S"),
@@ -153,7 +154,8 @@
 fn effects_are_not_repeated() {
     // Effect, group, outcome of the first shot at a mixed host in cell 0, when; the hosts that may follow, else
     // the answer. Hosts: 0 and 1 in cell 0, 2 in cell 1.
-    let cases: &[(&str, &str, Outcome, u64, &[u32], &str)] = &[
+    type Case<'a> = (&'a str, &'a str, Outcome, u64, &'a [u32], &'a str);
+    let cases: &[Case] = &[
         ("replayable", "cell", Error, 100, &[0, 1, 2], ""),
         ("referenced", "all", Error, 100, &[0, 1, 2], ""),
         ("referenced", "cell", Error, 100, &[0, 1], ""),
