--- a/src/rules.rs
+++ b/src/rules.rs
@@ -75,19 +75,13 @@
     Unknown,
 }
 
-#[derive(PartialEq)]
-enum Effect {
-    Replayable,
-    Referenced,
-    SingleUse,
-}
-
 struct Offering {
     agreed: f64,
     agreed_per_token: f64,
     pace: f64,
     gain: f64,
-    effect: Effect,
+    /// Anything but replayable or referenced is taken for single-use.
+    effect: String,
     group: String,
     window: Duration,
 }
@@ -106,7 +100,6 @@
     listed: Listed,
     role: Role,
     memory: f64,
-    running: bool,
     /// When it is warm at the latest; zero for one that was warm when first heard of.
     warm_at: Duration,
     /// Own tokens pending: prompts to read, and streams charged with prompt plus output.
@@ -190,8 +183,9 @@
     chance: Chance,
     terms: Terms,
     offerings: Vec<Offering>,
-    /// Tasks that each customer may still send within its share.
-    allowance: Vec<Fading>,
+    /// Each customer's part of its share here, in tasks a second, and what is left of it.
+    customers: Vec<(f64, Fading)>,
+    dispatchers: f64,
     hosts: Vec<Host>,
     tasks: Vec<Task>,
     sessions: Vec<Kept>,
@@ -205,13 +199,18 @@
 
 impl Rules {
     pub fn new(seed: u64, terms: &Terms) -> Self {
+        let dispatchers = terms.number("dispatchers").unwrap_or(1.0).max(1.0);
+        let quota = |i| terms.number(&format!("customers.{i}.quota_per_s")).unwrap_or(f64::INFINITY);
         let mut chance = Chance(seed ^ 0x9e37_79b9_7f4a_7c15);
         chance.next();
         Rules {
             now: Duration::ZERO,
             chance,
             offerings: (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i)).collect(),
-            allowance: vec![Fading::default(); terms.entries("customers")],
+            customers: (0..terms.entries("customers"))
+                .map(|i| (quota(i) / dispatchers, Fading::default()))
+                .collect(),
+            dispatchers,
             hosts: Vec::new(),
             tasks: Vec::new(),
             sessions: Vec::new(),
@@ -233,11 +232,7 @@
             agreed_per_token: listed("agreed_time_us_per_1000_prompt_tokens").unwrap_or(0.0) / 1e9,
             pace: listed("token_pace_us").unwrap_or(50_000.0).max(1.0) / 1e6,
             gain: terms.number(&own("gain")).unwrap_or(1.0),
-            effect: match terms.text(&own("effect")) {
-                Some("replayable") => Effect::Replayable,
-                Some("referenced") => Effect::Referenced,
-                _ => Effect::SingleUse,
-            },
+            effect: terms.text(&own("effect")).unwrap_or_default().to_owned(),
             group: terms.text(&own("group")).unwrap_or("cell").to_owned(),
             window: terms.span(&own("window_us")).unwrap_or_default(),
         }
@@ -250,42 +245,27 @@
             Event::ListFailed => return out.push(Action::AskList),
             Event::Probed { host, load: Some(load), .. } => return self.reported(*host, load),
             Event::Place { .. } | Event::Probed { .. } => return,
-            Event::Order(order) => {
-                self.take(order);
-                order.task
-            }
-            Event::Started { task, shot } => {
-                self.started(*task as usize, *shot as usize);
-                *task
-            }
-            Event::Closed(closed) => {
-                self.closed(closed);
-                closed.task
-            }
-            Event::Timer { token } => {
-                let due =
-                    self.tasks.get_mut((token >> 32) as usize).filter(|task| task.turn == *token as u32);
-                let Some(task) = due else { return };
-                task.timer = None;
-                (token >> 32) as u32
-            }
-            Event::ClientGone { task } => {
-                if let Some(task) = self.tasks.get_mut(*task as usize) {
-                    task.ended = true;
-                }
-                *task
-            }
-        };
-        self.plan(task as usize);
-        self.settle(task as usize, out);
+            Event::Order(order) => self.take(order),
+            Event::Started { task, shot } => self.started(*task, *shot),
+            Event::Closed(closed) => self.closed(closed),
+            Event::Timer { token } => (token >> 32) as u32,
+            Event::ClientGone { task } => *task,
+        } as usize;
+        let Some(about) = self.tasks.get_mut(task).filter(|task| task.live) else { return };
+        match event {
+            Event::Timer { token } if about.turn != *token as u32 => return,
+            Event::Timer { .. } => about.timer = None,
+            Event::ClientGone { .. } => about.ended = true,
+            _ => {}
+        }
+        self.plan(task);
+        self.settle(task, out);
     }
 
     fn hosts_listed(&mut self, whole: bool, listed: &[Listed], out: &mut Vec<Action>) {
         let now = self.now;
         if whole {
-            self.hosts
-                .iter_mut()
-                .for_each(|host| (host.running, host.listed.standing) = (false, Standing::Gone));
+            self.hosts.iter_mut().for_each(|host| host.listed.standing = Standing::Gone);
         }
         let warm_up = self.terms.span("rules.warm_up_us").unwrap_or_default();
         for line in listed {
@@ -321,7 +301,6 @@
                 };
             }
             host.listed = *line;
-            host.running = line.standing == Standing::Running;
         }
         // What waits at a host that is gone turns away from it at once.
         for t in 0..self.tasks.len() {
@@ -334,7 +313,7 @@
         }
     }
 
-    fn take(&mut self, order: &Order) {
+    fn take(&mut self, order: &Order) -> u32 {
         let now = self.now;
         let t = order.task as usize;
         if self.tasks.len() <= t {
@@ -368,6 +347,7 @@
         self.long_prompt *= if prompt > self.long_prompt { 1.018 } else { 0.998 };
         let orders = self.orders.left(now, 4.0) + 0.25;
         self.orders.set(now, orders);
+        order.task
     }
 
     /// The gain of a task against the most that any brings; what is beyond its customer's share brings less. Each
@@ -376,11 +356,9 @@
         let now = self.now;
         let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
         let mut rank = self.offerings[offering].gain / most;
-        let customer = order.customer.unwrap_or(u32::MAX);
-        let quota = self.terms.number(&format!("customers.{customer}.quota_per_s"));
-        if let (Some(quota), Some(allowed)) = (quota, self.allowance.get_mut(customer as usize)) {
-            let rate = quota / self.terms.number("dispatchers").unwrap_or(1.0).max(1.0);
-            let tokens = (allowed.level + (now - allowed.at).as_secs_f64() * rate).min(2.0 * rate);
+        let customer = order.customer.and_then(|customer| self.customers.get_mut(customer as usize));
+        if let Some((rate, allowed)) = customer.filter(|(rate, _)| rate.is_finite()) {
+            let tokens = (allowed.level + (now - allowed.at).as_secs_f64() * *rate).min(2.0 * *rate);
             let within = tokens >= 1.0;
             allowed.set(now, if within { tokens - 1.0 } else { tokens });
             rank *= if within { 1.0 } else { self.terms.number("over_share_gain").unwrap_or(1.0) };
@@ -388,10 +366,10 @@
         rank
     }
 
-    fn started(&mut self, t: usize, shot: usize) {
+    fn started(&mut self, t: u32, shot: u32) -> u32 {
         let now = self.now;
-        let Some(task) = self.tasks.get_mut(t) else { return };
-        let Some(shot) = task.shots.get_mut(shot).filter(|shot| shot.out) else { return };
+        let Some(task) = self.tasks.get_mut(t as usize) else { return t };
+        let Some(shot) = task.shots.get_mut(shot as usize).filter(|shot| shot.out) else { return t };
         task.held_by = None;
         shot.started = Some(now);
         let waited = (now - shot.sent).as_secs_f64();
@@ -404,16 +382,17 @@
             host.reads.add(waited, shot.queue + STEP);
         }
         host.answered(now);
+        t
     }
 
-    fn closed(&mut self, closed: &Closed) {
-        let now = self.now;
-        let Some(task) = self.tasks.get_mut(closed.task as usize).filter(|task| task.live) else { return };
+    fn closed(&mut self, closed: &Closed) -> u32 {
+        let (now, t) = (self.now, closed.task);
+        let Some(task) = self.tasks.get_mut(t as usize).filter(|task| task.live) else { return t };
         task.ended |= closed.finished;
         // Seven tenths of the time for letting go: room for a late timer.
         task.release_by = now + self.terms.span("service.release_us").unwrap_or_default().mul_f64(0.7);
         let output = task.output.max(1.0);
-        let Some(shot) = task.shots.get_mut(closed.shot as usize).filter(|shot| shot.out) else { return };
+        let Some(shot) = task.shots.get_mut(closed.shot as usize).filter(|shot| shot.out) else { return t };
         shot.out = false;
         shot.may_have_run = shot.part != Part::Read && !closed.outcome.never_ran();
         shot.failed = !matches!(closed.outcome, Outcome::Delivered | Outcome::Read);
@@ -437,11 +416,11 @@
             Outcome::Broken | Outcome::NoConnection => 0.6,
             _ => 0.0,
         };
-        match closed.outcome {
-            Outcome::Read => host.reads.add((now - shot.sent).as_secs_f64(), shot.queue + STEP),
+        if closed.outcome == Outcome::Read {
+            host.reads.add((now - shot.sent).as_secs_f64(), shot.queue + STEP);
+        } else if closed.outcome == Outcome::Full {
             // Nothing more until a place may have come free: a tenth of a second is a few answers' time.
-            Outcome::Full => host.full_until = now + Duration::from_millis(100),
-            _ => {}
+            host.full_until = now + Duration::from_millis(100);
         }
         if let (Outcome::Delivered, Some(started)) = (closed.outcome, shot.started) {
             host.pace.add((now - started).as_secs_f64(), output);
@@ -464,13 +443,17 @@
         if let Some(load) = &closed.load {
             self.reported(shot.host, load);
         }
+        t
     }
 
     /// Reports in tokens, or in a share of a memory told in tokens; any other field is left out.
     fn reported(&mut self, h: u32, load: &Load) {
         let Some(host) = self.hosts.get_mut(h as usize) else { return };
         for (i, value) in load.values.iter().enumerate().take(load.count) {
-            match self.terms.text(&format!("report.fields.{i}")) {
+            match self
+                .terms
+                .text(["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"][i])
+            {
                 Some("x0") => host.memory_held = *value,
                 Some("x1") => host.to_read = Some((self.now, value * 1000.0)),
                 _ => {}
@@ -511,8 +494,7 @@
     /// kept anywhere is thought kept there; the note on the first read corrects that.
     fn homes(&self, key: Key) -> [Option<u32>; 2] {
         let mut homes = [(0, None); 2];
-        for (h, host) in (0..).zip(&self.hosts).filter(|(_, host)| host.role == Role::Reader && host.running)
-        {
+        for (h, host) in (0..).zip(&self.hosts).filter(|(_, host)| host.role == Role::Reader && host.runs()) {
             let mut mixed = Chance(key.mark ^ host.listed.mark);
             let rank = (u64::from(mixed.next()) << 32 | u64::from(mixed.next()), Some(h));
             if rank > homes[0] {
@@ -526,7 +508,7 @@
 
     /// Running hosts of the same role.
     fn peers(&self, role: Role) -> impl Iterator<Item = (u32, &Host)> {
-        (0..).zip(&self.hosts).filter(move |(_, host)| host.running && host.role == role)
+        (0..).zip(&self.hosts).filter(move |(_, host)| host.runs() && host.role == role)
     }
 
     /// Whether the list, the operators' credit, the effect rules and the cold budget let a shot go there.
@@ -535,7 +517,7 @@
         let (task, host) = (&self.tasks[t], &self.hosts[h as usize]);
         let told = &self.offerings[task.offering];
         let further = task.shots.iter().any(|shot| shot.failed);
-        if !host.running || now < host.full_until || (further && host.credit < 1.0) {
+        if !host.runs() || now < host.full_until || (further && host.credit < 1.0) {
             return false;
         }
         // An effect that may have happened may be asked for again only inside its group and window.
@@ -546,10 +528,10 @@
                 "zone" => other.zone == host.listed.zone,
                 _ => other.cell == host.listed.cell,
             };
-            told.effect == Effect::Referenced && same && now < shot.sent + told.window
+            told.effect == "referenced" && same && now < shot.sent + told.window
         };
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
-        if part != Part::Read && told.effect != Effect::Replayable && !ran.all(again) {
+        if part != Part::Read && told.effect != "replayable" && !ran.all(again) {
             return false;
         }
         self.cold_budget(h) >= 1.0
@@ -559,10 +541,10 @@
     fn barred(&self, t: usize) -> bool {
         let told = &self.offerings[self.tasks[t].offering];
         let mut ran = self.tasks[t].shots.iter().filter(|shot| shot.may_have_run);
-        match told.effect {
-            Effect::Replayable => false,
-            Effect::Referenced => ran.any(|shot| self.now >= shot.sent + told.window),
-            Effect::SingleUse => ran.next().is_some(),
+        match told.effect.as_str() {
+            "replayable" => false,
+            "referenced" => ran.any(|shot| self.now >= shot.sent + told.window),
+            _ => ran.next().is_some(),
         }
     }
 
@@ -640,11 +622,11 @@
         let mut counts = std::mem::take(&mut self.counts);
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
-            let fit = match (self.hosts[h as usize].role, part) {
-                (Role::Reader, part) => part == Part::Read,
-                (Role::Writer, part) => part == Part::Write || (part == Part::Whole && writers_read),
-                (Role::Mixed, part) => part != Part::Read,
-                (Role::Unknown, _) => false,
+            let fit = match self.hosts[h as usize].role {
+                Role::Reader => part == Part::Read,
+                Role::Writer => part == Part::Write || (part == Part::Whole && writers_read),
+                Role::Mixed => part != Part::Read,
+                Role::Unknown => false,
             };
             let net = match part {
                 Part::Read => self.net(&order, h),
@@ -713,11 +695,10 @@
     /// Overload: what the writers have no memory for is bounced before it is read, beyond a customer's share first,
     /// then what brings less. Own streams stand for every dispatcher's, unless the hosts report that more is held.
     fn room(&self, t: usize) -> bool {
-        let dispatchers = self.terms.number("dispatchers").unwrap_or(1.0).max(1.0);
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
         let (held, memory) =
             writers.filter(|(_, host)| host.memory.is_finite()).fold((0.0, 0.0), |sum, (_, host)| {
-                let held = (host.writing * dispatchers).max(host.memory_held * host.memory);
+                let held = (host.writing * self.dispatchers).max(host.memory_held * host.memory);
                 (sum.0 + held, sum.1 + host.memory)
             });
         held <= memory * (0.75 + 0.25 * self.tasks[t].rank)
@@ -803,19 +784,22 @@
         let task = &self.tasks[t];
         let (shot, patience, stop) = (task.shots[i], task.patience, task.stop);
         let host = &self.hosts[shot.host as usize];
-        let single = shot.part != Part::Read && self.offerings[task.offering].effect == Effect::SingleUse;
+        let single = shot.part != Part::Read
+            && !matches!(self.offerings[task.offering].effect.as_str(), "replayable" | "referenced");
         let peers = self.peers(host.role).any(|(_, peer)| peer.heard > shot.sent);
         let silent = now >= shot.sent + patience && host.heard <= shot.sent && peers;
         let gone = host.listed.standing == Standing::Gone;
         let want = &mut self.tasks[t].want;
         want.keep = true;
         if shot.started.is_some() || shot.cancelled || single || !self.terms.flag("allowed.cancel") {
-        } else if silent || gone {
+            return;
+        }
+        if silent || gone {
             want.cancel = Some(i);
-        } else {
-            let next = if now < shot.sent + patience { shot.sent + patience } else { now + patience / 2 };
-            want.wake = Some(next).filter(|at| *at < stop);
+            return;
         }
+        let next = if now < shot.sent + patience { shot.sent + patience } else { now + patience / 2 };
+        want.wake = Some(next).filter(|at| *at < stop);
     }
 
     /// The answer goes at once. A bounce says that a repeat is harmless: only where the effect rules agree.
@@ -823,9 +807,8 @@
         let task = &mut self.tasks[t];
         let told = &self.offerings[task.offering];
         let ran = task.shots.iter().any(|shot| shot.may_have_run);
-        let all = told.effect == Effect::Referenced && told.group == "all";
-        task.want =
-            Wanted { answer: Some(told.effect == Effect::Replayable || all || !ran), ..Wanted::default() };
+        let all = told.effect == "referenced" && told.group == "all";
+        task.want = Wanted { answer: Some(told.effect == "replayable" || all || !ran), ..Wanted::default() };
     }
 
     /// Emits the difference between what the task wants and what is out, held and timed.
@@ -833,20 +816,14 @@
         let now = self.now;
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
         let number = t as u32;
-        match task.want.answer.take() {
-            Some(true) => {
-                // Spread, so that those sent away do not come back together.
-                let most = self.terms.span("allowed.max_come_back_us").unwrap_or_default();
-                let after = most.mul_f64(0.5 + 0.5 * self.chance.share());
-                let come_back = self.terms.flag("allowed.come_back").then_some(after);
-                out.push(Action::Bounce { task: number, come_back });
-                task.ended = true;
-            }
-            Some(false) => {
-                out.push(Action::BreakOff { task: number });
-                task.ended = true;
-            }
-            None => {}
+        if let Some(bounce) = task.want.answer.take() {
+            task.ended = true;
+            // Spread, so that those sent away do not come back together.
+            let most = self.terms.span("allowed.max_come_back_us").unwrap_or_default();
+            let after = most.mul_f64(0.5 + 0.5 * self.chance.share());
+            let come_back = self.terms.flag("allowed.come_back").then_some(after);
+            let bounced = Action::Bounce { task: number, come_back };
+            out.push(if bounce { bounced } else { Action::BreakOff { task: number } });
         }
         if let Some(i) = task.want.cancel {
             task.shots[i].cancelled = true;
@@ -895,6 +872,10 @@
 }
 
 impl Host {
+    fn runs(&self) -> bool {
+        self.listed.standing == Standing::Running
+    }
+
     /// Suspicion fades in some four seconds, so that a host is tried again by and by.
     fn doubt(&self, now: Duration) -> f64 {
         self.suspicion.left(now, 4.0)
