--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tulipstall::Rules;
 use tulipstall::door::{Door, mark};
-use tulipstall::interface::{Action, Closed, Event, Key, Listed, Order, Outcome, Standing, Term};
+use tulipstall::interface::{Action, Closed, Event, Key, Listed, Order, Outcome, Role, Standing, Term};
 
 /// One entry of a numbered list, as the process keeps it.
 pub struct Row {
@@ -24,6 +24,8 @@
     number: u64,
     origin: u64,
     door: Door,
+    /// Role and memory of each kind, as told at start.
+    kinds: Vec<(Role, Option<f64>)>,
     rules: Rules,
     actions: Vec<Action>,
 }
@@ -46,7 +48,8 @@
         }
         let zone = terms.text("zone").and_then(|zone| door.zones.find(zone));
         terms.0.insert("zone_index".to_owned(), Term::Number(zone.map_or(-1.0, f64::from)));
-        Instance { number, origin: clock, door, rules: Rules::new(seed, &terms), actions: Vec::new() }
+        let kinds = (0..terms.entries("kinds")).map(|i| words::kind(&terms, i)).collect();
+        Instance { number, origin: clock, door, kinds, rules: Rules::new(seed, &terms), actions: Vec::new() }
     }
 
     fn since_start(&self, clock: u64) -> Duration {
@@ -154,6 +157,10 @@
             let host = self.door.hosts.enter(&row.host);
             let zone = self.door.zones.enter(&row.zone);
             let (Some(host), Some(zone)) = (host, zone) else { continue };
+            let (role, memory_tokens) = match self.door.kinds.find(&row.kind) {
+                Some(kind) => self.kinds.get(kind as usize).copied().unwrap_or_default(),
+                None => (Role::Unknown, None),
+            };
             let up_for = clock.saturating_sub(row.online_since);
             listed.push(Listed {
                 host,
@@ -162,7 +169,8 @@
                 cell: row.cell,
                 zone,
                 weight: row.weight,
-                kind: self.door.kinds.find(&row.kind),
+                role,
+                memory_tokens,
                 standing: row.standing,
             });
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -71,6 +71,16 @@
     Gone,
 }
 
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    Reader,
+    Writer,
+    Mixed,
+    /// Its kind is not among those told at start.
+    #[default]
+    Unknown,
+}
+
 /// One line of the list of hosts.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Listed {
@@ -82,8 +92,9 @@
     pub cell: u32,
     pub zone: u32,
     pub weight: f64,
-    /// Absent where the kind is not among those told at start.
-    pub kind: Option<u32>,
+    /// What its kind does and holds, as told at start.
+    pub role: Role,
+    pub memory_tokens: Option<f64>,
     pub standing: Standing,
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,13 +3,14 @@
 //! here reads a clock, and equal events give equal actions. An event changes what a task wants (`plan`); `settle`
 //! alone compares that with what is out, held and timed, and emits the difference.
 
-use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Standing, Terms};
+use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Terms};
 use std::time::Duration;
 
 /// A step's own cost beside the tokens that it reads: under the smallest chunk that engines read in.
 const STEP: f64 = 300.0;
 
 /// PCG-XSH-RR 64/32 (O'Neill).
+#[derive(Default)]
 struct Chance(u64);
 
 impl Chance {
@@ -66,15 +67,6 @@
     }
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Role {
-    Reader,
-    Writer,
-    Mixed,
-    #[default]
-    Unknown,
-}
-
 struct Offering {
     agreed: f64,
     agreed_per_token: f64,
@@ -98,8 +90,6 @@
 #[derive(Clone, Copy, Default)]
 struct Host {
     listed: Listed,
-    role: Role,
-    memory: f64,
     /// When it is warm at the latest; zero for one that was warm when first heard of.
     warm_at: Duration,
     /// Own tokens pending: prompts to read, and streams charged with prompt plus output.
@@ -123,6 +113,20 @@
     budget: Fading,
 }
 
+impl Offering {
+    /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable one
+    /// always, a referenced one inside its group and window, a single-use one never.
+    fn again(&self, shot: &Shot, hosts: &[Host], there: Option<&Host>, now: Duration) -> bool {
+        let (from, there) = (&hosts[shot.host as usize].listed, there.map(|host| &host.listed));
+        let same = there.is_none_or(|there| match self.group.as_str() {
+            "all" => true,
+            "zone" => from.zone == there.zone,
+            _ => from.cell == there.cell,
+        });
+        self.effect == "replayable" || (self.effect == "referenced" && same && now < shot.sent + self.window)
+    }
+}
+
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Part {
     #[default]
@@ -178,6 +182,7 @@
     want: Wanted,
 }
 
+#[derive(Default)]
 pub struct Rules {
     now: Duration,
     chance: Chance,
@@ -204,23 +209,16 @@
         let mut chance = Chance(seed ^ 0x9e37_79b9_7f4a_7c15);
         chance.next();
         Rules {
-            now: Duration::ZERO,
             chance,
             offerings: (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i)).collect(),
             customers: (0..terms.entries("customers"))
                 .map(|i| (quota(i) / dispatchers, Fading::default()))
                 .collect(),
             dispatchers,
-            hosts: Vec::new(),
-            tasks: Vec::new(),
-            sessions: Vec::new(),
-            shared: Vec::new(),
-            counts: Vec::new(),
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
-            orders: Fading::default(),
-            first_time: 0.0,
             terms: terms.clone(),
+            ..Rules::default()
         }
     }
 
@@ -273,24 +271,15 @@
             if self.hosts.len() <= at {
                 self.hosts.resize(at + 1, Host::default());
             }
-            let kind = |list: &str| format!("service.{list}.{}", line.kind.unwrap_or(u32::MAX));
-            let role = match self.terms.text(&kind("role_by_kind")) {
-                Some("read") => Role::Reader,
-                Some("write") => Role::Writer,
-                Some("both") => Role::Mixed,
-                _ => Role::Unknown,
-            };
             let warm_at =
                 line.up_for.filter(|up| *up < warm_up).map_or(Duration::ZERO, |up| now + warm_up - up);
             let host = &mut self.hosts[at];
             // A later start under the same id is a new host: only what is still out there is carried over.
-            if host.role == Role::Unknown || warm_at > host.warm_at {
+            if host.listed == Listed::default() || warm_at > host.warm_at {
                 *host = Host {
                     reading: host.reading,
                     writing: host.writing,
                     shots_out: host.shots_out,
-                    memory: self.terms.number(&kind("kind_memory_tokens")).unwrap_or(f64::INFINITY),
-                    role,
                     warm_at,
                     // A further shot or two may be needed before a host's first answers are in.
                     credit: 2.0,
@@ -494,7 +483,9 @@
     /// kept anywhere is thought kept there; the note on the first read corrects that.
     fn homes(&self, key: Key) -> [Option<u32>; 2] {
         let mut homes = [(0, None); 2];
-        for (h, host) in (0..).zip(&self.hosts).filter(|(_, host)| host.role == Role::Reader && host.runs()) {
+        for (h, host) in
+            (0..).zip(&self.hosts).filter(|(_, host)| host.listed.role == Role::Reader && host.runs())
+        {
             let mut mixed = Chance(key.mark ^ host.listed.mark);
             let rank = (u64::from(mixed.next()) << 32 | u64::from(mixed.next()), Some(h));
             if rank > homes[0] {
@@ -508,7 +499,7 @@
 
     /// Running hosts of the same role.
     fn peers(&self, role: Role) -> impl Iterator<Item = (u32, &Host)> {
-        (0..).zip(&self.hosts).filter(move |(_, host)| host.runs() && host.role == role)
+        (0..).zip(&self.hosts).filter(move |(_, host)| host.runs() && host.listed.role == role)
     }
 
     /// Whether the list, the operators' credit, the effect rules and the cold budget let a shot go there.
@@ -520,34 +511,13 @@
         if !host.runs() || now < host.full_until || (further && host.credit < 1.0) {
             return false;
         }
-        // An effect that may have happened may be asked for again only inside its group and window.
-        let again = |shot: &Shot| {
-            let other = &self.hosts[shot.host as usize].listed;
-            let same = match told.group.as_str() {
-                "all" => true,
-                "zone" => other.zone == host.listed.zone,
-                _ => other.cell == host.listed.cell,
-            };
-            told.effect == "referenced" && same && now < shot.sent + told.window
-        };
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
-        if part != Part::Read && told.effect != "replayable" && !ran.all(again) {
+        if part != Part::Read && !ran.all(|shot| told.again(shot, &self.hosts, Some(host), now)) {
             return false;
         }
         self.cold_budget(h) >= 1.0
     }
 
-    /// Whether the effect rules bar every further shot, wherever it might go.
-    fn barred(&self, t: usize) -> bool {
-        let told = &self.offerings[self.tasks[t].offering];
-        let mut ran = self.tasks[t].shots.iter().filter(|shot| shot.may_have_run);
-        match told.effect.as_str() {
-            "replayable" => false,
-            "referenced" => ran.any(|shot| self.now >= shot.sent + told.window),
-            _ => ran.next().is_some(),
-        }
-    }
-
     /// Shots that a cold host may be sent now. The budget fills at the part of a warm peer's own traffic that the
     /// host can do for certain, never above one shot, and starts empty: no burst, and what this dispatcher forgot
     /// at its own restart cannot be spent twice. All dispatchers' parts add up to a warm peer's traffic times that
@@ -561,7 +531,7 @@
         let warm_up = self.terms.number("rules.warm_up_us").unwrap_or(1e6) / 1e6;
         let age = 1.0 - (host.warm_at - now).as_secs_f64() / warm_up.max(0.001);
         let (mut peers, mut warm, mut rate) = (0.0, 0.0, 0.0);
-        for (_, peer) in self.peers(host.role) {
+        for (_, peer) in self.peers(host.listed.role) {
             peers += 1.0;
             if now >= peer.warm_at {
                 (warm, rate) = (warm + 1.0, rate + peer.rate.left(now, 4.0));
@@ -581,7 +551,7 @@
     fn slow(&self, h: u32) -> f64 {
         let host = &self.hosts[h as usize];
         let worst = |of: fn(&Host) -> Ratio| {
-            let others = self.peers(host.role).filter(|(i, _)| *i != h);
+            let others = self.peers(host.listed.role).filter(|(i, _)| *i != h);
             of(host).against(others.fold(Ratio::default(), |sum, (_, peer)| sum.join(of(peer))))
         };
         let worst = worst(|host| host.reads).max(worst(|host| host.firsts)).max(worst(|host| host.pace));
@@ -598,7 +568,7 @@
             host.to_read.filter(|(at, _)| self.now - *at < Duration::from_secs(2)).map(|(_, tokens)| tokens)
         };
         let average = || {
-            let told = self.peers(host.role).filter_map(|(_, peer)| late(peer));
+            let told = self.peers(host.listed.role).filter_map(|(_, peer)| late(peer));
             let (sum, count) = told.fold((0.0, 0.0), |(sum, count), tokens| (sum + tokens, count + 1.0));
             sum / f64::max(count, 1.0)
         };
@@ -622,7 +592,7 @@
         let mut counts = std::mem::take(&mut self.counts);
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
-            let fit = match self.hosts[h as usize].role {
+            let fit = match self.hosts[h as usize].listed.role {
                 Role::Reader => part == Part::Read,
                 Role::Writer => part == Part::Write || (part == Part::Whole && writers_read),
                 Role::Mixed => part != Part::Read,
@@ -696,12 +666,12 @@
     /// then what brings less. Own streams stand for every dispatcher's, unless the hosts report that more is held.
     fn room(&self, t: usize) -> bool {
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
-        let (held, memory) =
-            writers.filter(|(_, host)| host.memory.is_finite()).fold((0.0, 0.0), |sum, (_, host)| {
-                let held = (host.writing * self.dispatchers).max(host.memory_held * host.memory);
-                (sum.0 + held, sum.1 + host.memory)
-            });
-        held <= memory * (0.75 + 0.25 * self.tasks[t].rank)
+        let memory = |host: &Host| host.listed.memory_tokens.unwrap_or(0.0);
+        let (held, memory) = writers.fold((0.0, 0.0), |sum, (_, host)| {
+            let held = (host.writing * self.dispatchers).max(host.memory_held * memory(host));
+            (sum.0 + held, sum.1 + memory(host))
+        });
+        memory == 0.0 || held <= memory * (0.75 + 0.25 * self.tasks[t].rank)
     }
 
     /// A reader, or a mixed host for its share of tasks whole: where it has the fewest pending tokens of all that
@@ -739,8 +709,11 @@
         let (held, first, stop) = (task.held_by, task.shots.is_empty(), task.stop);
         let (agreed, arrived) = ((task.due - task.arrived).as_secs_f64(), task.arrived);
         let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
+        let told = &self.offerings[task.offering];
+        let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
+        let barred = !ran.all(|shot| told.again(shot, &self.hosts, None, now));
         let spent = task.shots.len() >= most || now + Duration::from_secs_f64(0.5 * self.first_time) >= stop;
-        if spent || self.barred(t) || (first && !self.room(t)) {
+        if spent || barred || (first && !self.room(t)) {
             return self.give_up(t);
         }
         let pick = match held {
@@ -786,7 +759,7 @@
         let host = &self.hosts[shot.host as usize];
         let single = shot.part != Part::Read
             && !matches!(self.offerings[task.offering].effect.as_str(), "replayable" | "referenced");
-        let peers = self.peers(host.role).any(|(_, peer)| peer.heard > shot.sent);
+        let peers = self.peers(host.listed.role).any(|(_, peer)| peer.heard > shot.sent);
         let silent = now >= shot.sent + patience && host.heard <= shot.sent && peers;
         let gone = host.listed.standing == Standing::Gone;
         let want = &mut self.tasks[t].want;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,12 +4,12 @@
 use tulipstall::Rules;
 use tulipstall::interface::Outcome::*;
 use tulipstall::interface::{
-    Action, Closed, Event, Key, Listed, Load, Order, Outcome, Standing, Term, Terms,
+    Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Term, Terms,
 };
 
-const READER: u32 = 0;
-const WRITER: u32 = 1;
-const MIXED: u32 = 2;
+const READER: Role = Role::Reader;
+const WRITER: Role = Role::Writer;
+const MIXED: Role = Role::Mixed;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -22,13 +22,11 @@
 }
 
 impl Desk {
-    /// `hosts` gives each host's kind and cell.
-    fn new(extra: &[(&str, &str)], hosts: &[(u32, u32)]) -> Desk {
+    /// `hosts` gives each host's role and cell.
+    fn new(extra: &[(&str, &str)], hosts: &[(Role, u32)]) -> Desk {
         let base = "dispatchers=2 offerings.0.agreed_time_us=1500000 offerings.0.gain=1 offerings.0.effect=replayable \
             offerings.0.group=all offerings.0.window_us=5000000 service.token_pace_us.0=60000 \
-            service.role_by_kind.0=read service.role_by_kind.1=write service.role_by_kind.2=both \
-            service.kind_memory_tokens.0=200000 service.kind_memory_tokens.1=150000 \
-            service.kind_memory_tokens.2=200000 service.release_us=500000 allowed.max_shots=6 allowed.cancel=true \
+            service.release_us=500000 allowed.max_shots=6 allowed.cancel=true \
             allowed.come_back=true allowed.max_come_back_us=1000000 rules.cold_from=0.3 rules.warm_up_us=10000000 \
             report.fields.0=x1 customers.0.quota_per_s=1000 over_share_gain=0.1";
         let mut terms = Terms::default();
@@ -41,14 +39,15 @@
             };
             terms.0.insert(name.to_owned(), value);
         }
-        let listed = |(i, (kind, cell)): (usize, &(u32, u32))| Listed {
+        let listed = |(i, (role, cell)): (usize, &(Role, u32))| Listed {
             host: i as u32,
             mark: i as u64 * 7919 + 1,
             up_for: None,
             cell: *cell,
             zone: *cell,
             weight: 1.0,
-            kind: Some(*kind),
+            role: *role,
+            memory_tokens: Some(150_000.0),
             standing: Standing::Running,
         };
         let hosts: Vec<Listed> = hosts.iter().enumerate().map(listed).collect();
