--- a/src/rules.rs
+++ b/src/rules.rs
@@ -78,13 +78,13 @@
     window: Duration,
 }
 
-/// The last reader of a session or a shared text, and the tokens of it that it read.
+/// What readers are thought to have kept of a session or a shared text, and which read it last.
 #[derive(Clone, Copy, Default)]
 struct Kept {
     turn: u32,
-    host: u32,
-    tokens: u32,
-    at: Duration,
+    last: Option<u32>,
+    /// Reader, tokens, when.
+    by: [(u32, u32, Duration); 4],
 }
 
 #[derive(Clone, Copy, Default)]
@@ -450,22 +450,19 @@
         }
     }
 
-    /// The last reader of a session or shared text. Kept texts give way to newer ones in time; a minute is many times
-    /// a session's pause.
-    fn last(&self, table: &[Kept], key: Option<Key>) -> Option<Kept> {
-        let kept =
-            table.get(key?.place as usize).filter(|kept| Some(kept.turn) == key.map(|key| key.turn))?;
-        Some(*kept).filter(|kept| self.now - kept.at < Duration::from_secs(60))
-    }
-
     /// Tokens of a task's prompt that a host is thought to have kept.
     fn kept(&self, order: &Order, h: u32) -> u32 {
-        let here = |kept: &Kept| kept.host == h;
-        let session = self.last(&self.sessions, order.session).filter(here);
-        let shared = self.last(&self.shared, order.shared).filter(here);
-        let home = order.shared.is_some_and(|key| self.homes(key).contains(&Some(h)));
-        let shared = if home { order.shared_tokens } else { shared.map_or(0, |kept| kept.tokens) };
-        session.map_or(0, |kept| kept.tokens).max(shared).min(order.prompt_tokens)
+        let of = |table: &[Kept], key: Option<Key>, tokens: u32| {
+            let kept = find_kept(table, key)?;
+            // Kept texts give way to newer ones in time; a minute is many times a session's pause.
+            let good =
+                |(by, _, at): &&(u32, u32, Duration)| *by == h && self.now - *at < Duration::from_secs(60);
+            kept.by.iter().find(good).map(|(_, kept, _)| tokens.min(*kept)).filter(|kept| *kept > 0)
+        };
+        let home = || order.shared.is_some_and(|key| self.homes(key).contains(&Some(h)));
+        let shared = of(&self.shared, order.shared, order.shared_tokens);
+        let shared = shared.unwrap_or_else(|| if home() { order.shared_tokens } else { 0 });
+        of(&self.sessions, order.session, order.prompt_tokens).unwrap_or(0).max(shared)
     }
 
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of late.
@@ -476,8 +473,9 @@
 
     /// The session's last reader, else the shared text's, else the text's home.
     fn last_reader(&self, order: &Order) -> Option<u32> {
-        let last = self.last(&self.sessions, order.session).or_else(|| self.last(&self.shared, order.shared));
-        last.map(|kept| kept.host).or_else(|| self.homes(order.shared?)[0])
+        let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last;
+        let known = last(&self.sessions, order.session).or_else(|| last(&self.shared, order.shared));
+        known.or_else(|| self.homes(order.shared?)[0])
     }
 
     /// The two readers where a shared text is at home: ranked by a hash of both, so that dispatchers that cannot
@@ -865,10 +863,21 @@
     }
 }
 
-fn note_kept(table: &mut Vec<Kept>, key: Option<Key>, host: u32, tokens: u32, at: Duration) {
+fn find_kept(table: &[Kept], key: Option<Key>) -> Option<&Kept> {
+    table.get(key?.place as usize).filter(|kept| Some(kept.turn) == key.map(|key| key.turn))
+}
+
+fn note_kept(table: &mut Vec<Kept>, key: Option<Key>, h: u32, tokens: u32, now: Duration) {
     let Some(key) = key else { return };
     if table.len() <= key.place as usize {
         table.resize(key.place as usize + 1, Kept::default());
     }
-    table[key.place as usize] = Kept { turn: key.turn, host, tokens, at };
+    let kept = &mut table[key.place as usize];
+    if kept.turn != key.turn {
+        *kept = Kept { turn: key.turn, ..Kept::default() };
+    }
+    kept.last = Some(h);
+    let same = kept.by.iter().position(|(by, tokens, _)| *by == h && *tokens > 0);
+    let oldest = (0..kept.by.len()).min_by_key(|i| kept.by[*i].2).unwrap_or(0);
+    kept.by[same.unwrap_or(oldest)] = (h, tokens, now);
 }
