--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,17 +54,9 @@
         *self = Ratio { spent: self.spent * 0.8 + spent, done: self.done * 0.8 + done };
     }
 
-    fn join(self, other: Ratio) -> Ratio {
-        Ratio { spent: self.spent + other.spent, done: self.done + other.done }
-    }
-
     fn value(&self) -> f64 {
         if self.done > 0.0 { self.spent / self.done } else { 0.0 }
     }
-
-    fn against(&self, others: Ratio) -> f64 {
-        if self.done > 0.0 && others.spent > 0.0 { self.value() / others.value() } else { 1.0 }
-    }
 }
 
 struct Offering {
@@ -177,7 +169,8 @@
     patience: Duration,
     ended: bool,
     held_by: Option<u32>,
-    release_by: Duration,
+    /// How long it may be without a shot: for a start, or to take the state held.
+    wait_until: Duration,
     timer: Option<Duration>,
     want: Wanted,
 }
@@ -323,6 +316,7 @@
             rank,
             arrived: now,
             due: now + Duration::from_secs_f64(told.agreed + told.agreed_per_token * prompt),
+            wait_until: now + Duration::from_secs_f64(told.agreed / 2.0),
             // A tick or two inside the client's own time.
             stop: now + order.left.saturating_sub(Duration::from_millis(4)),
             output: match order.hint {
@@ -378,8 +372,8 @@
         let (now, t) = (self.now, closed.task);
         let Some(task) = self.tasks.get_mut(t as usize).filter(|task| task.live) else { return t };
         task.ended |= closed.finished;
-        // Seven tenths of the time for letting go: room for a late timer.
-        task.release_by = now + self.terms.span("service.release_us").unwrap_or_default().mul_f64(0.7);
+        // Seven tenths of the time for letting go leave room for a late timer.
+        task.wait_until = now + self.terms.span("service.release_us").unwrap_or_default().mul_f64(0.7);
         let output = task.output.max(1.0);
         let Some(shot) = task.shots.get_mut(closed.shot as usize).filter(|shot| shot.out) else { return t };
         shot.out = false;
@@ -459,7 +453,11 @@
                 |(by, _, at): &&(u32, u32, Duration)| *by == h && self.now - *at < Duration::from_secs(60);
             kept.by.iter().find(good).map(|(_, kept, _)| tokens.min(*kept)).filter(|kept| *kept > 0)
         };
-        let home = || order.shared.is_some_and(|key| self.homes(key).contains(&Some(h)));
+        let home = || {
+            let rank = |host| order.shared.map_or(0, |key| Self::home_rank(key, host));
+            self.peers(Role::Reader).filter(|(_, peer)| rank(peer) > rank(&self.hosts[h as usize])).count()
+                < 2
+        };
         let shared = of(&self.shared, order.shared, order.shared_tokens);
         let shared = shared.unwrap_or_else(|| if home() { order.shared_tokens } else { 0 });
         of(&self.sessions, order.session, order.prompt_tokens).unwrap_or(0).max(shared)
@@ -475,26 +473,16 @@
     fn last_reader(&self, order: &Order) -> Option<u32> {
         let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last;
         let known = last(&self.sessions, order.session).or_else(|| last(&self.shared, order.shared));
-        known.or_else(|| self.homes(order.shared?)[0])
+        let home = |key| self.peers(Role::Reader).max_by_key(|(_, host)| Self::home_rank(key, host));
+        known.or_else(|| home(order.shared?).map(|(h, _)| h))
     }
 
-    /// The two readers where a shared text is at home: ranked by a hash of both, so that dispatchers that cannot
-    /// talk bring one text to the same readers, and the readers' memory holds more texts. A text not known to be
+    /// A shared text is at home at the two readers that a hash of both ranks highest. Dispatchers that cannot talk
+    /// thus bring one text to the same readers, and the readers' memory holds more texts. A text not known to be
     /// kept anywhere is thought kept there; the note on the first read corrects that.
-    fn homes(&self, key: Key) -> [Option<u32>; 2] {
-        let mut homes = [(0, None); 2];
-        for (h, host) in
-            (0..).zip(&self.hosts).filter(|(_, host)| host.listed.role == Role::Reader && host.runs())
-        {
-            let mut mixed = Chance(key.mark ^ host.listed.mark);
-            let rank = (u64::from(mixed.next()) << 32 | u64::from(mixed.next()), Some(h));
-            if rank > homes[0] {
-                homes = [rank, homes[0]];
-            } else if rank > homes[1] {
-                homes[1] = rank;
-            }
-        }
-        homes.map(|(_, h)| h)
+    fn home_rank(key: Key, host: &Host) -> u64 {
+        let mut mixed = Chance(key.mark ^ host.listed.mark);
+        u64::from(mixed.next()) << 32 | u64::from(mixed.next())
     }
 
     /// Running hosts of the same role.
@@ -551,8 +539,10 @@
     fn slow(&self, h: u32) -> f64 {
         let host = &self.hosts[h as usize];
         let worst = |of: fn(&Host) -> Ratio| {
-            let others = self.peers(host.listed.role).filter(|(i, _)| *i != h);
-            of(host).against(others.fold(Ratio::default(), |sum, (_, peer)| sum.join(of(peer))))
+            let others = self.peers(host.listed.role).filter(|(i, _)| *i != h).map(|(_, peer)| of(peer));
+            let (spent, done) =
+                others.fold((0.0, 0.0), |sum, other| (sum.0 + other.spent, sum.1 + other.done));
+            if of(host).done > 0.0 && spent > 0.0 { of(host).value() * done / spent } else { 1.0 }
         };
         let worst = worst(|host| host.reads).max(worst(|host| host.firsts)).max(worst(|host| host.pace));
         // Sound hosts differ by less than 1.6; what was seen is let go of in ten seconds, so that it is tried again.
@@ -683,17 +673,15 @@
         let first = self.tasks[t].shots.is_empty();
         let late = |h: u32| first && !self.read_in_time(t, h);
         let (reads, writes) = (reader.filter(|h| !late(*h)), whole.filter(|(h, _)| !late(*h)));
-        match (reads, writes) {
+        let pick = match (reads, writes) {
             (Some(_), Some((h, count))) if count <= fewest => Some((h, Part::Whole)),
             (Some(h), _) => Some((h, Part::Read)),
-            (None, Some((h, _))) => Some((h, Part::Whole)),
-            (None, None) => {
-                if reader.is_some() || whole.is_some() {
-                    self.give_up(t);
-                }
-                None
-            }
+            (None, writes) => writes.map(|(h, _)| (h, Part::Whole)),
+        };
+        if pick.is_none() && (reader.is_some() || whole.is_some()) {
+            self.give_up(t);
         }
+        pick
     }
 
     fn plan(&mut self, t: usize) {
@@ -707,7 +695,7 @@
             return self.watch(t, i);
         }
         let (held, first, stop) = (task.held_by, task.shots.is_empty(), task.stop);
-        let (agreed, arrived) = ((task.due - task.arrived).as_secs_f64(), task.arrived);
+        let agreed = (task.due - task.arrived).as_secs_f64();
         let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
         let told = &self.offerings[task.offering];
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
@@ -735,13 +723,8 @@
             task.want.wake = Some(now + task.patience).filter(|at| cancel && *at < stop);
         } else if task.want.answer.is_none() {
             // Nobody may be sent to for now: cold budgets fill, full hosts empty, credit is earned.
-            let last = if held.is_some() {
-                task.release_by
-            } else {
-                arrived + Duration::from_secs_f64(agreed / 2.0)
-            };
             let wake = now + Duration::from_millis(10);
-            if wake < last.min(stop) {
+            if wake < task.wait_until.min(stop) {
                 task.want.wake = Some(wake);
             } else {
                 self.give_up(t);
@@ -757,14 +740,14 @@
         let task = &self.tasks[t];
         let (shot, patience, stop) = (task.shots[i], task.patience, task.stop);
         let host = &self.hosts[shot.host as usize];
-        let single = shot.part != Part::Read
-            && !matches!(self.offerings[task.offering].effect.as_str(), "replayable" | "referenced");
+        let told = &self.offerings[task.offering];
         let peers = self.peers(host.listed.role).any(|(_, peer)| peer.heard > shot.sent);
         let silent = now >= shot.sent + patience && host.heard <= shot.sent && peers;
         let gone = host.listed.standing == Standing::Gone;
+        let stays = shot.part != Part::Read && !told.again(&shot, &self.hosts, None, now);
         let want = &mut self.tasks[t].want;
         want.keep = true;
-        if shot.started.is_some() || shot.cancelled || single || !self.terms.flag("allowed.cancel") {
+        if shot.started.is_some() || shot.cancelled || stays || !self.terms.flag("allowed.cancel") {
             return;
         }
         if silent || gone {
