--- a/src/rules.rs
+++ b/src/rules.rs
@@ -455,8 +455,9 @@
         };
         let home = || {
             let rank = |host| order.shared.map_or(0, |key| Self::home_rank(key, host));
-            self.peers(Role::Reader).filter(|(_, peer)| rank(peer) > rank(&self.hosts[h as usize])).count()
-                < 2
+            let own = &self.hosts[h as usize];
+            let above = self.peers(Role::Reader).filter(|(_, peer)| rank(peer) > rank(own));
+            own.listed.role == Role::Reader && above.count() < 2
         };
         let shared = of(&self.shared, order.shared, order.shared_tokens);
         let shared = shared.unwrap_or_else(|| if home() { order.shared_tokens } else { 0 });
