Prefer near writers within four tasks' charges

Cause: 60% of prompt tokens left their cell at a margin of one charge. May hurt where a cell's writers fail together.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,10 +19,6 @@
         self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
     }
-
-    fn share(&mut self) -> f64 {
-        f64::from(self.next()) / (f64::from(u32::MAX) + 1.0)
-    }
 }
 
 /// A level that fades with time, by a factor of e each span of seconds.
@@ -282,14 +278,10 @@
             }
             host.listed = *line;
         }
-        // What waits at a host that is gone turns away from it at once.
+        // What waits at a host that is gone turns away from it at once; what waits for a host may have one now.
         for t in 0..self.tasks.len() {
-            let gone =
-                |shot: &Shot| shot.out && self.hosts[shot.host as usize].listed.standing == Standing::Gone;
-            if self.tasks[t].live && self.tasks[t].shots.iter().any(gone) {
-                self.plan(t);
-                self.settle(t, out);
-            }
+            self.plan(t);
+            self.settle(t, out);
         }
     }
 
@@ -425,12 +417,10 @@
     /// Reports in tokens, or in a share of a memory told in tokens; any other field is left out.
     fn reported(&mut self, h: u32, load: &Load) {
         let Some(host) = self.hosts.get_mut(h as usize) else { return };
-        for (i, value) in load.values.iter().enumerate().take(load.count) {
-            match self
-                .terms
-                .text(["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"][i])
-            {
-                Some("x0") => host.memory_held = *value,
+        let fields = ["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"];
+        for (field, value) in fields.iter().zip(load.values).take(load.count) {
+            match self.terms.text(field) {
+                Some("x0") => host.memory_held = value,
                 Some("x1") => host.to_read = Some((self.now, value * 1000.0)),
                 _ => {}
             }
@@ -512,15 +502,11 @@
         }
         let warm_up = self.terms.number("rules.warm_up_us").unwrap_or(1e6) / 1e6;
         let age = 1.0 - (host.warm_at - now).as_secs_f64() / warm_up.max(0.001);
-        let (mut peers, mut warm, mut rate) = (0.0, 0.0, 0.0);
-        for (_, peer) in self.peers(host.listed.role) {
-            peers += 1.0;
-            if now >= peer.warm_at {
-                (warm, rate) = (warm + 1.0, rate + peer.rate.left(now, 4.0));
-            }
-        }
-        let asked = self.orders.left(now, 4.0) / f64::max(peers, 1.0);
-        let each = if warm > 0.0 { f64::min(rate / warm, asked) } else { asked };
+        let role = host.listed.role;
+        let warm = self.peers(role).filter(|(_, peer)| now >= peer.warm_at);
+        let (warm, rate) = warm.fold((0.0, 0.0), |s, (_, peer)| (s.0 + 1.0, s.1 + peer.rate.left(now, 4.0)));
+        let asked = self.orders.left(now, 4.0) / self.peers(role).count().max(1) as f64;
+        let each = if warm > 0.0 { asked.min(rate / warm) } else { asked };
         let cold_from = self.terms.number("rules.cold_from").unwrap_or(0.1);
         let part = cold_from + (1.0 - cold_from) * age.max(0.0).powi(2);
         let host = &mut self.hosts[h as usize];
@@ -579,11 +565,8 @@
                 Role::Mixed => part != Part::Read,
                 Role::Unknown => false,
             };
-            let net = match part {
-                Part::Read => self.net(&order, h),
-                Part::Whole => self.net(&order, h) + output,
-                Part::Write => f64::from(order.prompt_tokens) + output,
-            };
+            let net = if part == Part::Write { f64::from(order.prompt_tokens) } else { self.net(&order, h) };
+            let net = if part == Part::Read { net } else { net + output };
             let may = fit && self.may_send(t, h, part);
             counts.push(if may { self.pending(h, part, net) } else { f64::INFINITY });
         }
@@ -606,12 +589,12 @@
         alike.map(|(h, _)| (self.chance.next(), h)).max().map(|(_, h)| h)
     }
 
-    /// The writer with the fewest pending tokens. Within this task's own charge, what one pick can tip, the reader's
-    /// cell is preferred, then its zone, then chance.
+    /// The writer with the fewest pending tokens. Within four times this task's own charge, what a few picks tip, the
+    /// reader's cell is preferred, then its zone, then chance.
     fn pick_writer(&mut self, t: usize, part: Part) -> Option<(u32, f64)> {
         let fewest = self.count(t, part);
         let task = &self.tasks[t];
-        let margin = f64::from(task.order.prompt_tokens) + task.output;
+        let margin = 4.0 * (f64::from(task.order.prompt_tokens) + task.output);
         let from = task.held_by.map(|h| self.hosts[h as usize].listed);
         let far = |host: &Host| match from {
             Some(from) if from.cell == host.listed.cell => 0,
@@ -768,7 +751,7 @@
             task.ended = true;
             // Spread, so that those sent away do not come back together.
             let most = self.terms.span("allowed.max_come_back_us").unwrap_or_default();
-            let after = most.mul_f64(0.5 + 0.5 * self.chance.share());
+            let after = most.mul_f64(0.5 + f64::from(self.chance.next() >> 16) / 131_072.0);
             let come_back = self.terms.flag("allowed.come_back").then_some(after);
             let bounced = Action::Bounce { task: number, come_back };
             out.push(if bounce { bounced } else { Action::BreakOff { task: number } });
