--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,8 @@
 //! tulipstall: pairs prompt readers with answer writers by pending tokens.
 
-#![warn(clippy::all)]
-
 pub mod door;
 pub mod interface;
 pub mod rules;
+mod state;
 
 pub use rules::Rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,100 +4,16 @@
 //! alone compares that with what is out, held and timed, and emits the difference.
 
 use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Terms};
+use crate::state::{
+    Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted, find_kept, note_kept,
+};
 use std::time::Duration;
 
 /// A step's own cost beside the tokens that it reads: under the smallest chunk that engines read in.
 const STEP: f64 = 300.0;
 
-/// PCG-XSH-RR 64/32 (O'Neill).
-#[derive(Default)]
-struct Chance(u64);
-
-impl Chance {
-    fn next(&mut self) -> u32 {
-        let old = self.0;
-        self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
-    }
-}
-
-/// A level that fades with time, by a factor of e each span of seconds.
-#[derive(Clone, Copy, Default)]
-struct Fading {
-    level: f64,
-    at: Duration,
-}
-
-impl Fading {
-    fn left(&self, now: Duration, seconds: f64) -> f64 {
-        self.level * (-now.saturating_sub(self.at).as_secs_f64() / seconds).exp()
-    }
-
-    fn set(&mut self, now: Duration, level: f64) {
-        *self = Fading { level, at: now };
-    }
-}
-
-/// Something spent over something done, both fading by a fifth with each addition: long tasks weigh as they should.
-#[derive(Clone, Copy, Default)]
-struct Ratio {
-    spent: f64,
-    done: f64,
-}
-
-impl Ratio {
-    fn add(&mut self, spent: f64, done: f64) {
-        *self = Ratio { spent: self.spent * 0.8 + spent, done: self.done * 0.8 + done };
-    }
-
-    fn value(&self) -> f64 {
-        if self.done > 0.0 { self.spent / self.done } else { 0.0 }
-    }
-}
-
-struct Offering {
-    agreed: f64,
-    agreed_per_token: f64,
-    pace: f64,
-    gain: f64,
-    /// Anything but replayable or referenced is taken for single-use.
-    effect: String,
-    group: String,
-    window: Duration,
-}
-
-/// What readers are thought to have kept of a session or a shared text, and which read it last.
-#[derive(Clone, Copy, Default)]
-struct Kept {
-    turn: u32,
-    last: Option<u32>,
-    /// Reader, tokens, when.
-    by: [(u32, u32, Duration); 4],
-}
-
-#[derive(Clone, Copy, Default)]
-struct Host {
-    listed: Listed,
-    /// When it is warm at the latest; zero for one that was warm when first heard of.
-    warm_at: Duration,
-    /// Own tokens pending: prompts to read, and streams charged with prompt plus output.
-    reading: f64,
-    writing: f64,
-    shots_out: u32,
-    /// Last report of tokens to read or fetch, and of the share of memory held.
-    to_read: Option<(Duration, f64)>,
-    memory_held: f64,
-    suspicion: Fading,
-    credit: f64,
-    /// Seconds for each token to read; kept tokens found over those thought so.
-    reads: Ratio,
-    trust: Ratio,
-    heard: Duration,
-    full_until: Duration,
-    /// Shots a second sent here, and the cold budget left.
-    rate: Fading,
-    budget: Fading,
-}
+/// What a ratio keeps of its past with each addition: a dozen tasks settle it, and as many turn it.
+const KEEP: f64 = 0.8;
 
 impl Offering {
     /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable one
@@ -113,62 +29,6 @@
     }
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Part {
-    #[default]
-    Read,
-    Write,
-    Whole,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Shot {
-    host: u32,
-    part: Part,
-    sent: Duration,
-    /// Tokens to read, until read; tokens of the stream, until it ends; and all that were to be read before it.
-    net: f64,
-    charge: f64,
-    queue: f64,
-    thought_kept: u32,
-    out: bool,
-    started: Option<Duration>,
-    cancelled: bool,
-    failed: bool,
-    may_have_run: bool,
-}
-
-/// What should be out, held and timed for a task; and its answer (true: bounce, false: break-off).
-#[derive(Default)]
-struct Wanted {
-    shot: Option<(u32, Part, Duration)>,
-    cancel: Option<usize>,
-    answer: Option<bool>,
-    keep: bool,
-    wake: Option<Duration>,
-}
-
-#[derive(Default)]
-struct Task {
-    live: bool,
-    turn: u32,
-    order: Order,
-    offering: usize,
-    rank: f64,
-    arrived: Duration,
-    due: Duration,
-    stop: Duration,
-    output: f64,
-    shots: Vec<Shot>,
-    patience: Duration,
-    ended: bool,
-    held_by: Option<u32>,
-    /// How long it may be without a shot: for a start, or to take the state held.
-    wait_until: Duration,
-    timer: Option<Duration>,
-    want: Wanted,
-}
-
 #[derive(Default)]
 pub struct Rules {
     now: Duration,
@@ -351,7 +211,7 @@
         if shot.part == Part::Write {
             self.first_time += 0.05 * (waited - self.first_time);
         } else {
-            host.reads.add(waited, shot.queue + STEP);
+            host.reads.add(waited, shot.queue + STEP, KEEP);
         }
         host.answered(now);
         t
@@ -388,7 +248,7 @@
             _ => 0.0,
         };
         if closed.outcome == Outcome::Read {
-            host.reads.add((now - shot.sent).as_secs_f64(), shot.queue + STEP);
+            host.reads.add((now - shot.sent).as_secs_f64(), shot.queue + STEP, KEEP);
         } else if closed.outcome == Outcome::Full {
             // Nothing more until a place may have come free: a tenth of a second is a few answers' time.
             host.full_until = now + Duration::from_millis(100);
@@ -403,7 +263,7 @@
             // What the note says was kept counts: a host that forgot one text has likely forgotten more.
             if shot.thought_kept > 0 {
                 let found = closed.kept_tokens.min(shot.thought_kept);
-                host.trust.add(f64::from(found), f64::from(shot.thought_kept));
+                host.trust.add(f64::from(found), f64::from(shot.thought_kept), KEEP);
             }
             note_kept(&mut self.sessions, order.session, shot.host, order.prompt_tokens, now);
             note_kept(&mut self.shared, order.shared, shot.host, order.shared_tokens, now);
@@ -820,22 +680,3 @@
         self.heard = now;
     }
 }
-
-fn find_kept(table: &[Kept], key: Option<Key>) -> Option<&Kept> {
-    table.get(key?.place as usize).filter(|kept| Some(kept.turn) == key.map(|key| key.turn))
-}
-
-fn note_kept(table: &mut Vec<Kept>, key: Option<Key>, h: u32, tokens: u32, now: Duration) {
-    let Some(key) = key else { return };
-    if table.len() <= key.place as usize {
-        table.resize(key.place as usize + 1, Kept::default());
-    }
-    let kept = &mut table[key.place as usize];
-    if kept.turn != key.turn {
-        *kept = Kept { turn: key.turn, ..Kept::default() };
-    }
-    kept.last = Some(h);
-    let same = kept.by.iter().position(|(by, tokens, _)| *by == h && *tokens > 0);
-    let oldest = (0..kept.by.len()).min_by_key(|i| kept.by[*i].2).unwrap_or(0);
-    kept.by[same.unwrap_or(oldest)] = (h, tokens, now);
-}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,169 @@
+//! The state that the rules keep, and the plain helpers on it: no decision, no tuned value.
+
+use crate::interface::{Key, Listed, Order};
+use std::time::Duration;
+
+/// PCG-XSH-RR 64/32 (O'Neill).
+#[derive(Default)]
+pub(crate) struct Chance(pub(crate) u64);
+
+impl Chance {
+    pub(crate) fn next(&mut self) -> u32 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
+    }
+}
+
+/// A level that fades with time, by a factor of e each span of seconds.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Fading {
+    pub(crate) level: f64,
+    pub(crate) at: Duration,
+}
+
+impl Fading {
+    pub(crate) fn left(&self, now: Duration, seconds: f64) -> f64 {
+        self.level * (-now.saturating_sub(self.at).as_secs_f64() / seconds).exp()
+    }
+
+    pub(crate) fn set(&mut self, now: Duration, level: f64) {
+        *self = Fading { level, at: now };
+    }
+}
+
+/// Something spent over something done, both fading with each addition: long tasks weigh as they should.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Ratio {
+    pub(crate) spent: f64,
+    pub(crate) done: f64,
+}
+
+impl Ratio {
+    pub(crate) fn add(&mut self, spent: f64, done: f64, keep: f64) {
+        *self = Ratio { spent: self.spent * keep + spent, done: self.done * keep + done };
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        if self.done > 0.0 { self.spent / self.done } else { 0.0 }
+    }
+}
+
+pub(crate) struct Offering {
+    pub(crate) agreed: f64,
+    pub(crate) agreed_per_token: f64,
+    pub(crate) pace: f64,
+    pub(crate) gain: f64,
+    /// Anything but replayable or referenced is taken for single-use.
+    pub(crate) effect: String,
+    pub(crate) group: String,
+    pub(crate) window: Duration,
+}
+
+/// What readers are thought to have kept of a session or a shared text, and which read it last.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Kept {
+    pub(crate) turn: u32,
+    pub(crate) last: Option<u32>,
+    /// Reader, tokens, when.
+    pub(crate) by: [(u32, u32, Duration); 4],
+}
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Host {
+    pub(crate) listed: Listed,
+    /// When it is warm at the latest; zero for one that was warm when first heard of.
+    pub(crate) warm_at: Duration,
+    /// Own tokens pending: prompts to read, and streams charged with prompt plus output.
+    pub(crate) reading: f64,
+    pub(crate) writing: f64,
+    pub(crate) shots_out: u32,
+    /// Last report of tokens to read or fetch, and of the share of memory held.
+    pub(crate) to_read: Option<(Duration, f64)>,
+    pub(crate) memory_held: f64,
+    pub(crate) suspicion: Fading,
+    pub(crate) credit: f64,
+    /// Seconds for each token to read; kept tokens found over those thought so.
+    pub(crate) reads: Ratio,
+    pub(crate) trust: Ratio,
+    pub(crate) heard: Duration,
+    pub(crate) full_until: Duration,
+    /// Shots a second sent here, and the cold budget left.
+    pub(crate) rate: Fading,
+    pub(crate) budget: Fading,
+}
+
+#[derive(Clone, Copy, Default, PartialEq)]
+pub(crate) enum Part {
+    #[default]
+    Read,
+    Write,
+    Whole,
+}
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Shot {
+    pub(crate) host: u32,
+    pub(crate) part: Part,
+    pub(crate) sent: Duration,
+    /// Tokens to read, until read; tokens of the stream, until it ends; and all that were to be read before it.
+    pub(crate) net: f64,
+    pub(crate) charge: f64,
+    pub(crate) queue: f64,
+    pub(crate) thought_kept: u32,
+    pub(crate) out: bool,
+    pub(crate) started: Option<Duration>,
+    pub(crate) cancelled: bool,
+    pub(crate) failed: bool,
+    pub(crate) may_have_run: bool,
+}
+
+/// What should be out, held and timed for a task; and its answer (true: bounce, false: break-off).
+#[derive(Default)]
+pub(crate) struct Wanted {
+    pub(crate) shot: Option<(u32, Part, Duration)>,
+    pub(crate) cancel: Option<usize>,
+    pub(crate) answer: Option<bool>,
+    pub(crate) keep: bool,
+    pub(crate) wake: Option<Duration>,
+}
+
+#[derive(Default)]
+pub(crate) struct Task {
+    pub(crate) live: bool,
+    pub(crate) turn: u32,
+    pub(crate) order: Order,
+    pub(crate) offering: usize,
+    pub(crate) rank: f64,
+    pub(crate) arrived: Duration,
+    pub(crate) due: Duration,
+    pub(crate) stop: Duration,
+    pub(crate) output: f64,
+    pub(crate) shots: Vec<Shot>,
+    pub(crate) patience: Duration,
+    pub(crate) ended: bool,
+    pub(crate) held_by: Option<u32>,
+    /// How long it may be without a shot: for a start, or to take the state held.
+    pub(crate) wait_until: Duration,
+    pub(crate) timer: Option<Duration>,
+    pub(crate) want: Wanted,
+}
+
+pub(crate) fn find_kept(table: &[Kept], key: Option<Key>) -> Option<&Kept> {
+    table.get(key?.place as usize).filter(|kept| Some(kept.turn) == key.map(|key| key.turn))
+}
+
+pub(crate) fn note_kept(table: &mut Vec<Kept>, key: Option<Key>, h: u32, tokens: u32, now: Duration) {
+    let Some(key) = key else { return };
+    if table.len() <= key.place as usize {
+        table.resize(key.place as usize + 1, Kept::default());
+    }
+    let kept = &mut table[key.place as usize];
+    if kept.turn != key.turn {
+        *kept = Kept { turn: key.turn, ..Kept::default() };
+    }
+    kept.last = Some(h);
+    let same = kept.by.iter().position(|(by, tokens, _)| *by == h && *tokens > 0);
+    let oldest = (0..kept.by.len()).min_by_key(|i| kept.by[*i].2).unwrap_or(0);
+    kept.by[same.unwrap_or(oldest)] = (h, tokens, now);
+}
