--- a/src/rules.rs
+++ b/src/rules.rs
@@ -176,8 +176,8 @@
             shots,
             ..Task::default()
         };
-        // The ninth decile of prompt lengths, by steps of a fiftieth: a few dozen prompts settle it.
-        self.long_prompt *= if prompt > self.long_prompt { 1.018 } else { 0.998 };
+        // The upper quartile of prompt lengths, by small steps: a few dozen prompts settle it.
+        self.long_prompt *= if prompt > self.long_prompt { 1.015 } else { 0.995 };
         let orders = self.orders.left(now, 4.0) + 0.25;
         self.orders.set(now, orders);
         order.task
@@ -474,13 +474,13 @@
     }
 
     /// Whether a read begun now would end in time for a first token at the agreed time. What brings less than the
-    /// most may wait for less than what brings the most. A host that has been quiet may always be tried, so that an
-    /// old, bad reading cannot shut it for good.
+    /// most may wait for less: half the agreed time of what brings the most, in proportion to its gain. A host that
+    /// has been quiet may always be tried, so that an old, bad reading cannot shut it for good.
     fn read_in_time(&self, t: usize, h: u32) -> bool {
         let (now, task, host) = (self.now, &self.tasks[t], &self.hosts[h as usize]);
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
-        let wait = top.map_or(f64::INFINITY, |top| top.agreed * task.rank);
+        let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
         let trial = host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
         let in_turn = task.rank >= 1.0 || host.reads.value() * self.to_read(h) < wait;
         trial || (in_turn && self.read_expected(t, h) + self.first_time < by)
