--- a/src/rules.rs
+++ b/src/rules.rs
@@ -368,7 +368,9 @@
         let asked = self.orders.left(now, 4.0) / self.peers(role).count().max(1) as f64;
         let each = if warm > 0.0 { asked.min(rate / warm) } else { asked };
         let cold_from = self.terms.number("rules.cold_from").unwrap_or(0.1);
-        let part = cold_from + (1.0 - cold_from) * age.max(0.0).powi(2);
+        // Warming evenly, but never past four fifths of what even a host that stays cold throughout would stand.
+        let stands = 0.8 * cold_from * self.terms.number("rules.fall_multiple").unwrap_or(1.0);
+        let part = (cold_from + (1.0 - cold_from) * age.max(0.0)).min(stands);
         let host = &mut self.hosts[h as usize];
         let filled = host.budget.level + (now - host.budget.at).as_secs_f64() * each * part;
         host.budget.set(now, filled.min(1.0));
@@ -487,7 +489,7 @@
     }
 
     /// Overload: what the writers have no memory for is bounced before it is read, beyond a customer's share first,
-    /// then what brings less. Own streams stand for every dispatcher's, unless the hosts report that more is held.
+    /// then what brings less, and a quarter past the full for what brings the most, as charges are outputs' ends. Own streams stand for every dispatcher's, unless the hosts report that more is held.
     fn room(&self, t: usize) -> bool {
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
         let memory = |host: &Host| host.listed.memory_tokens.unwrap_or(0.0);
@@ -495,7 +497,7 @@
             let held = (host.writing * self.dispatchers).max(host.memory_held * memory(host));
             (sum.0 + held, sum.1 + memory(host))
         });
-        memory == 0.0 || held <= memory * (0.75 + 0.25 * self.tasks[t].rank)
+        memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
     /// A reader, or a mixed host for its share of tasks whole: where it has the fewest pending tokens of all that
