--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -388,7 +388,7 @@
 fn overload_is_bounced_before_it_is_read() {
     // Tokens of streams out; the customer's share; whether one more task is taken.
     for (streams, quota, taken) in
-        [(2, "1000", true), (46, "1000", false), (30, "0.001", false), (30, "1000", true)]
+        [(2, "1000", true), (46, "1000", false), (40, "0.001", false), (40, "1000", true)]
     {
         let mut desk =
             Desk::new(&[("customers.0.quota_per_s", quota)], &[(READER, 0), (WRITER, 0), (WRITER, 0)]);
