--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -226,7 +226,9 @@
             },
             Action::Timer { at, token } => writeln!(reply, "REMIND {me} {} {token}", clock(at)),
             Action::AskList => writeln!(reply, "TAIL {me} 1"),
-            Action::Note(ref words) => writeln!(reply, "REMARK {me} {words}"),
+            Action::Note { host: h, what } => {
+                writeln!(reply, "REMARK {me} {} {what}", host(h).unwrap_or("a host"))
+            }
             Action::Forget { task } => {
                 self.door.tasks.forget(task);
                 Ok(())
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,7 +206,11 @@
         token: u64,
     },
     AskList,
-    Note(String),
+    /// A line for the one on call.
+    Note {
+        host: u32,
+        what: &'static str,
+    },
     /// Nothing more will be said of this task: its index may be given out again.
     Forget {
         task: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,6 +32,7 @@
 #[derive(Default)]
 pub struct Rules {
     now: Duration,
+    note: Option<(u32, &'static str)>,
     chance: Chance,
     terms: Terms,
     offerings: Vec<Offering>,
@@ -105,6 +106,9 @@
         }
         self.plan(task);
         self.settle(task, out);
+        if let Some((host, what)) = self.note.take() {
+            out.push(Action::Note { host, what });
+        }
     }
 
     fn hosts_listed(&mut self, whole: bool, listed: &[Listed], out: &mut Vec<Action>) {
@@ -259,6 +263,13 @@
         } else if !shot.failed {
             host.answered(now);
         }
+        // One line for the one on call when a host falls under suspicion, and one when it answers again.
+        let doubt = host.doubt(now);
+        if host.suspected != (doubt >= 0.5) && (doubt >= 0.5 || doubt < 0.2 && !shot.failed) {
+            host.suspected = doubt >= 0.5;
+            let what = if host.suspected { "suspected" } else { "answers again" };
+            self.note = Some((shot.host, what));
+        }
         if !shot.failed && shot.part != Part::Write {
             // What the note says was kept counts: a host that forgot one text has likely forgotten more.
             if shot.thought_kept > 0 {
@@ -335,7 +346,7 @@
     }
 
     /// Whether the list, the operators' credit, the effect rules and the cold budget let a shot go there.
-    fn may_send(&mut self, t: usize, h: u32, part: Part) -> bool {
+    fn may_send(&mut self, t: usize, h: u32) -> bool {
         let now = self.now;
         let (task, host) = (&self.tasks[t], &self.hosts[h as usize]);
         let told = &self.offerings[task.offering];
@@ -344,7 +355,8 @@
             return false;
         }
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
-        if part != Part::Read && !ran.all(|shot| told.again(shot, &self.hosts, Some(host), now)) {
+        // A read for it counts as a further shot too, though it has no effect of its own.
+        if !ran.all(|shot| told.again(shot, &self.hosts, Some(host), now)) {
             return false;
         }
         self.cold_budget(h) >= 1.0
@@ -429,7 +441,7 @@
             };
             let net = if part == Part::Write { f64::from(order.prompt_tokens) } else { self.net(&order, h) };
             let net = if part == Part::Read { net } else { net + output };
-            let may = fit && self.may_send(t, h, part);
+            let may = fit && self.may_send(t, h);
             counts.push(if may { self.pending(h, part, net) } else { f64::INFINITY });
         }
         self.counts = counts;
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,7 @@
     pub(crate) to_read: Option<(Duration, f64)>,
     pub(crate) memory_held: f64,
     pub(crate) suspicion: Fading,
+    pub(crate) suspected: bool,
     pub(crate) credit: f64,
     /// Seconds for each token to read; kept tokens found over those thought so.
     pub(crate) reads: Ratio,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -203,6 +203,25 @@
     }
 }
 
+#[test]
+fn a_read_after_a_shot_that_may_have_run_keeps_to_its_group() {
+    // Effect, group; where the prompt is read anew once the state is gone: reader 0 of the shot's cell, or 1 that is
+    // less busy.
+    for (effect, group, reader) in
+        [("replayable", "cell", 1), ("referenced", "all", 1), ("referenced", "cell", 0)]
+    {
+        let extra = [("offerings.0.effect", effect), ("offerings.0.group", group)];
+        let mut desk = Desk::new(&extra, &[(READER, 0), (READER, 1), (WRITER, 0), (WRITER, 0)]);
+        desk.list(0, 1, Standing::Draining, None);
+        desk.order(1, 50, 50, 9000);
+        desk.list(2, 1, Standing::Running, None);
+        assert_eq!(sent(&desk.order(3, 9, 9, 500)), Some(1));
+        desk.close(20, 9, 0, Read);
+        desk.close(30, 9, 1, Broken);
+        assert_eq!(sent(&desk.close(40, 9, 2, NoState)), Some(reader), "{effect} {group}");
+    }
+}
+
 #[test]
 fn nothing_new_goes_to_a_host_that_drains_or_is_gone() {
     for standing in [Standing::Draining, Standing::Gone] {
