Advise to come back within a tenth to three tenths of the agreed time

Cause: tasks bounced in milliseconds were told to stay away for half to the whole of the longest advice, past their agreed time. May hurt where clients ignore all advice but obey a short one in a long overload.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -624,9 +624,11 @@
         let number = t as u32;
         if let Some(bounce) = task.want.answer.take() {
             task.ended = true;
-            // Spread, so that those sent away do not come back together.
+            // A tenth to three tenths of the agreed time: spread, and soon enough that the repeat may be in time.
             let most = self.terms.span("allowed.max_come_back_us").unwrap_or_default();
-            let after = most.mul_f64(0.5 + f64::from(self.chance.next() >> 16) / 131_072.0);
+            let soon = self.offerings[task.offering].agreed
+                * (0.1 + f64::from(self.chance.next() >> 16) / 327_680.0);
+            let after = most.min(Duration::from_secs_f64(soon));
             let come_back = self.terms.flag("allowed.come_back").then_some(after);
             let bounced = Action::Bounce { task: number, come_back };
             out.push(if bounce { bounced } else { Action::BreakOff { task: number } });
