Convert reported prompt tokens by the part that a host's reads found not kept

Ruled out: suspicion and slowness (absent in most of the 546 moves), stale reports (ageing them gained nothing).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -271,6 +271,8 @@
             self.note = Some((shot.host, what));
         }
         if !shot.failed && shot.part != Part::Write {
+            let read = order.prompt_tokens.saturating_sub(closed.kept_tokens);
+            host.anew.add(f64::from(read), f64::from(order.prompt_tokens), KEEP);
             // What the note says was kept counts: a host that forgot one text has likely forgotten more.
             if shot.thought_kept > 0 {
                 let found = closed.kept_tokens.min(shot.thought_kept);
@@ -288,11 +290,13 @@
     /// Reports in tokens, or in a share of a memory told in tokens; any other field is left out.
     fn reported(&mut self, h: u32, load: &Load) {
         let Some(host) = self.hosts.get_mut(h as usize) else { return };
+        // Whole prompts are reported; the part of them that the host's reads found not kept is what delays.
+        let anew = if host.anew.done > 0.0 { host.anew.value() } else { 1.0 };
         let fields = ["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"];
         for (field, value) in fields.iter().zip(load.values).take(load.count) {
             match self.terms.text(field) {
                 Some("x0") => host.memory_held = value,
-                Some("x1") => host.to_read = Some((self.now, value * 1000.0)),
+                Some("x1") => host.to_read = Some((self.now, value * 1000.0 * anew)),
                 _ => {}
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,6 +87,8 @@
     /// Seconds for each token to read; kept tokens found over those thought so.
     pub(crate) reads: Ratio,
     pub(crate) trust: Ratio,
+    /// Prompt tokens that were read anew over all prompt tokens.
+    pub(crate) anew: Ratio,
     pub(crate) heard: Duration,
     pub(crate) full_until: Duration,
     /// Shots a second sent here, and the cold budget left.
