--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,7 @@
     /// Each customer's part of its share here, in tasks a second, and what is left of it.
     customers: Vec<(f64, Fading)>,
     dispatchers: f64,
+    zone: u32,
     hosts: Vec<Host>,
     tasks: Vec<Task>,
     sessions: Vec<Kept>,
@@ -63,6 +64,7 @@
                 .map(|i| (quota(i) / dispatchers, Fading::default()))
                 .collect(),
             dispatchers,
+            zone: terms.number("zone_index").map_or(u32::MAX, |zone| zone as u32),
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
             terms: terms.clone(),
@@ -311,14 +313,8 @@
                 |(by, _, at): &&(u32, u32, Duration)| *by == h && self.now - *at < Duration::from_secs(60);
             kept.by.iter().find(good).map(|(_, kept, _)| tokens.min(*kept)).filter(|kept| *kept > 0)
         };
-        let home = || {
-            let rank = |host| order.shared.map_or(0, |key| Self::home_rank(key, host));
-            let own = &self.hosts[h as usize];
-            let above = self.peers(Role::Reader).filter(|(_, peer)| rank(peer) > rank(own));
-            own.listed.role == Role::Reader && above.count() < 2
-        };
         let shared = of(&self.shared, order.shared, order.shared_tokens);
-        let shared = shared.unwrap_or_else(|| if home() { order.shared_tokens } else { 0 });
+        let shared = shared.unwrap_or_else(|| if self.at_home(order, h) { order.shared_tokens } else { 0 });
         of(&self.sessions, order.session, order.prompt_tokens).unwrap_or(0).max(shared)
     }
 
@@ -328,7 +324,7 @@
         f64::from(order.prompt_tokens) - f64::from(self.kept(order, h)) * self.hosts[h as usize].trust.value()
     }
 
-    /// The session's last reader, else the shared text's, else the text's home.
+    /// The session's last reader, else the shared text's, else the text's first home.
     fn last_reader(&self, order: &Order) -> Option<u32> {
         let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last;
         let known = last(&self.sessions, order.session).or_else(|| last(&self.shared, order.shared));
@@ -339,6 +335,13 @@
     /// A shared text is at home at the two readers that a hash of both ranks highest. Dispatchers that cannot talk
     /// thus bring one text to the same readers, and the readers' memory holds more texts. A text not known to be
     /// kept anywhere is thought kept there; the note on the first read corrects that.
+    fn at_home(&self, order: &Order, h: u32) -> bool {
+        let (Some(key), own) = (order.shared, &self.hosts[h as usize]) else { return false };
+        let rank = Self::home_rank(key, own);
+        let above = self.peers(Role::Reader).filter(|(_, peer)| Self::home_rank(key, peer) > rank);
+        own.listed.role == Role::Reader && above.count() < 2
+    }
+
     fn home_rank(key: Key, host: &Host) -> u64 {
         let mut mixed = Chance(key.mark ^ host.listed.mark);
         u64::from(mixed.next()) << 32 | u64::from(mixed.next())
@@ -462,9 +465,11 @@
         if let Some(last) = last.filter(|h| within(self.counts.get(*h as usize), self.long_prompt)) {
             return Some(last);
         }
-        // Less than a step apart is alike: chance, so that dispatchers don't follow one another to one reader.
+        // Less than a step apart is alike: the own zone, then chance, so that dispatchers don't follow one another to one reader.
         let alike = (0..).zip(&self.counts).filter(|(_, count)| within(Some(count), STEP));
-        alike.map(|(h, _)| (self.chance.next(), h)).max().map(|(_, h)| h)
+        let ranked = alike
+            .map(|(h, _): (u32, _)| (self.zone == self.hosts[h as usize].listed.zone, self.chance.next(), h));
+        ranked.max().map(|(.., h)| h)
     }
 
     /// The writer with the fewest pending tokens. Within four times this task's own charge, what a few picks tip, the
