--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -449,3 +449,66 @@
     }
     assert_eq!(letters(&actions), "B");
 }
+
+#[test]
+fn dispatchers_that_cannot_talk_bring_a_text_to_the_same_reader() {
+    // Seeds differ, hosts and texts are the same; every reader is some text's home.
+    let mut homes = Vec::new();
+    for text in 0..40u64 {
+        let mut readers = Vec::new();
+        for seed in [3, 4, 5] {
+            let mut desk = Desk::new(&[], &[(READER, 0), (READER, 1), (READER, 2), (WRITER, 0)]);
+            desk.rules = Rules::new(seed, &Terms::default());
+            desk.tell(0, Event::Hosts { whole: true, listed: desk.hosts.clone() });
+            let key = Some(Key { place: 0, turn: 1, mark: text * 31 + 7 });
+            let left = ms(4000);
+            let order =
+                Order { shared: key, shared_tokens: 900, prompt_tokens: 1000, left, ..Order::default() };
+            readers.extend(sent(&desk.tell(1, Event::Order(order))));
+        }
+        assert!(readers.len() == 3 && readers.iter().all(|reader| *reader == readers[0]), "{readers:?}");
+        homes.push(readers[0]);
+    }
+    assert!((0..3).all(|reader| homes.contains(&reader)), "{homes:?}");
+}
+
+#[test]
+fn kept_tokens_and_reports_count_as_far_as_notes_bear_them_out() {
+    // Of prompts of 4000 tokens, how many each note says were kept; whether a report of 8 thousand whole prompt
+    // tokens still turns the next session away from the reader that gave it.
+    for (kept, turned) in [(0, true), (3900, false)] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        let mut teller = None;
+        for i in 0..30 {
+            teller = sent(&desk.order(i * 100, i as u32, 1, 4000));
+            let mut load = Load { count: 1, ..Load::default() };
+            load.values[0] = if i == 29 { 8.0 } else { 0.0 };
+            let task = i as u32;
+            let load = Some(load);
+            let closed = Closed { task, shot: 0, outcome: Read, finished: false, kept_tokens: kept, load };
+            desk.tell(i * 100 + 20, Event::Closed(closed));
+            desk.tell(i * 100 + 30, Event::Started { task, shot: 1 });
+            desk.close(i * 100 + 40, task, 1, Delivered);
+        }
+        let idle = Some(Load { count: 1, ..Load::default() });
+        desk.tell(2990, Event::Probed { host: 1 - teller.unwrap(), answered: true, load: idle });
+        let next = sent(&desk.order(3000, 90, 1, 4000));
+        assert_eq!(next != teller, turned, "{kept} kept");
+    }
+}
+
+#[test]
+fn the_answer_to_a_task_given_up_is_at_once_with_advice_in_time() {
+    let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+    for task in 0..46 {
+        desk.order(u64::from(task) * 10, task, task, 4000);
+        desk.close(u64::from(task) * 10 + 5, task, 0, Read);
+    }
+    let actions = desk.order(1000, 99, 99, 1000);
+    let advice = actions.iter().find_map(|action| match action {
+        Action::Bounce { come_back, .. } => *come_back,
+        _ => None,
+    });
+    let advice = advice.expect("a bounce with advice");
+    assert!(advice >= ms(150) && advice <= ms(450), "{advice:?} of an agreed time of 1.5 s");
+}
