--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -19,6 +19,7 @@
 struct Desk {
     rules: Rules,
     hosts: Vec<Listed>,
+    offering: u32,
 }
 
 impl Desk {
@@ -51,7 +52,7 @@
             standing: Standing::Running,
         };
         let hosts: Vec<Listed> = hosts.iter().enumerate().map(listed).collect();
-        let mut desk = Desk { rules: Rules::new(7, &terms), hosts };
+        let mut desk = Desk { rules: Rules::new(7, &terms), hosts, offering: 0 };
         desk.tell(0, Event::Hosts { whole: true, listed: desk.hosts.clone() });
         desk
     }
@@ -71,7 +72,7 @@
         let session = Some(Key { place: session, turn: 1, mark: u64::from(session) });
         let order = Order {
             task,
-            offering: Some(0),
+            offering: Some(self.offering),
             customer: Some(0),
             session,
             shared: None,
@@ -476,13 +477,14 @@
 fn kept_tokens_and_reports_count_as_far_as_notes_bear_them_out() {
     // Of prompts of 4000 tokens, how many each note says were kept; whether a report of 8 thousand whole prompt
     // tokens still turns the next session away from the reader that gave it.
-    for (kept, turned) in [(0, true), (3900, false)] {
+    // The same for 5000 tokens of its own pending there.
+    for (kept, report, turned) in [(0, 8.0, true), (3900, 8.0, false), (0, 0.0, true), (3900, 0.0, false)] {
         let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
         let mut teller = None;
         for i in 0..30 {
             teller = sent(&desk.order(i * 100, i as u32, 1, 4000));
             let mut load = Load { count: 1, ..Load::default() };
-            load.values[0] = if i == 29 { 8.0 } else { 0.0 };
+            load.values[0] = if i == 29 { report } else { 0.0 };
             let task = i as u32;
             let load = Some(load);
             let closed = Closed { task, shot: 0, outcome: Read, finished: false, kept_tokens: kept, load };
@@ -492,6 +494,11 @@
         }
         let idle = Some(Load { count: 1, ..Load::default() });
         desk.tell(2990, Event::Probed { host: 1 - teller.unwrap(), answered: true, load: idle });
+        if report == 0.0 {
+            desk.list(2991, 1 - teller.unwrap(), Standing::Draining, None);
+            desk.order(2992, 80, 80, 5000);
+            desk.list(2993, 1 - teller.unwrap(), Standing::Running, None);
+        }
         let next = sent(&desk.order(3000, 90, 1, 4000));
         assert_eq!(next != teller, turned, "{kept} kept");
     }
@@ -512,3 +519,53 @@
     let advice = advice.expect("a bounce with advice");
     assert!(advice >= ms(150) && advice <= ms(450), "{advice:?} of an agreed time of 1.5 s");
 }
+
+#[test]
+fn what_cannot_be_read_in_time_is_bounced_before_the_read() {
+    // Milliseconds that a prompt of 1000 tokens took of late, tokens pending at the reader, the gain of the task
+    // against the most, and the answer at once or the send.
+    let cases =
+        [(400, 4000, "1", "B"), (40, 4000, "1", "S"), (100, 6000, "1", "S"), (100, 6000, "0.25", "B")];
+    for (took, pending, gain, expected) in cases {
+        let extra = [
+            ("offerings.1.gain", gain),
+            ("offerings.1.effect", "replayable"),
+            ("offerings.1.agreed_time_us", "1500000"),
+        ];
+        let mut desk = Desk::new(&extra, &[(READER, 0), (WRITER, 0)]);
+        for task in 0..12 {
+            let at = u64::from(task) * 1000;
+            desk.order(at, task, task, 1000);
+            desk.close(at + took, task, 0, Read);
+            desk.tell(at + took + 20, Event::Started { task, shot: 1 });
+            desk.close(at + took + 40, task, 1, Delivered);
+        }
+        assert!(sent(&desk.order(12_000, 90, 90, pending)).is_some());
+        desk.offering = 1;
+        assert_eq!(letters(&desk.order(12_001, 91, 91, 1000)), expected, "{took} ms, gain {gain}");
+    }
+}
+
+#[test]
+fn a_slow_reader_gets_less_and_a_host_gone_loses_what_waits() {
+    // How many times slower reader 0 is; the most of the next twenty tasks that it may get.
+    for (times, most) in [(1, 20), (8, 4)] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        let mut got = 0;
+        for task in 0..60 {
+            let at = u64::from(task) * 1000;
+            let reader = sent(&desk.order(at, task, task, 1000));
+            got += u32::from(task >= 40 && reader == Some(0));
+            let took = if reader == Some(0) { 50 * times } else { 50 };
+            desk.close(at + took, task, 0, Read);
+            desk.tell(at + took + 20, Event::Started { task, shot: 1 });
+            desk.close(at + took + 40, task, 1, Delivered);
+        }
+        assert!(got <= most && (times > 1 || got > 0), "{got} of twenty at {times} times");
+    }
+    let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0)]);
+    let reader = sent(&desk.order(0, 1, 1, 1000)).unwrap();
+    let actions = desk.list(10, reader, Standing::Gone, None);
+    assert!(actions.contains(&Action::Cancel { task: 1, shot: 0 }), "{actions:?}");
+    assert_eq!(sent(&desk.close(20, 1, 0, Cancelled)), Some(1 - reader));
+}
