Try quiet hosts only while half the agreed time is left

Cause: for 25 s the clients' tries lived 0.6 s in place of 3.4 s, and a host counted as quiet after a third of the time left, so nearly every task was a trial. Ruled out: hosts (shots answered as before), lists and restarts (none). Also holds for tasks that come late; may hurt where all readers fell silent together and tries are short.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -504,7 +504,9 @@
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
-        let trial = host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
+        // Not with less than half the agreed time left, as where clients have grown impatient: it would end too late.
+        let ample = by > 0.5 * self.offerings[task.offering].agreed;
+        let trial = ample && host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
         let in_turn = task.rank >= 1.0 || host.reads.value() * self.to_read(h) < wait;
         trial || (in_turn && self.read_expected(t, h) + self.first_time < by)
     }
