Let go of shots that later ones overtook at their host

Cause: four writers lost half of their work without a word; as they answered others, none was silent. Ruled out: links (near and far alike), overload. Also holds for hosts that stop in the middle of their queue; may hurt where a host answers out of order.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -214,6 +214,7 @@
         let waited = (now - shot.sent).as_secs_f64();
         let host = &mut self.hosts[shot.host as usize];
         host.reading -= shot.net;
+        host.overtook = host.overtook.max(shot.sent);
         if shot.part == Part::Write {
             self.first_time += 0.15 * (waited - self.first_time);
         } else {
@@ -254,6 +255,7 @@
             _ => 0.0,
         };
         if closed.outcome == Outcome::Read {
+            host.overtook = host.overtook.max(shot.sent);
             host.reads.add((now - shot.sent).as_secs_f64(), shot.queue + STEP, KEEP);
         } else if closed.outcome == Outcome::Full {
             // Nothing more until a place may have come free: a tenth of a second is a few answers' time.
@@ -576,10 +578,9 @@
         let task = &mut self.tasks[t];
         task.want.keep = task.want.answer.is_none();
         if let Some((h, part)) = pick {
-            // Silence costs a shot, not the task: eight times what is expected, and most of the agreed time, as one
-            // long prompt of another dispatcher keeps a sound reader as long.
-            task.patience = Duration::from_secs_f64((8.0 * expected).max(0.8 * agreed));
-            let until = if cancel { stop } else { stop.min(now + 2 * task.patience) };
+            // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed time.
+            task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed));
+            let until = if cancel { stop } else { stop.min(now + 6 * task.patience) };
             task.want.shot = Some((h, part, until));
             task.want.wake = Some(now + task.patience).filter(|at| cancel && *at < stop);
         } else if task.want.answer.is_none() {
@@ -593,9 +594,11 @@
         }
     }
 
-    /// A shot is out. Hosts answer first come first: one that has answered others since still works, and waiting
-    /// there is no worse than anew elsewhere. One that has been silent since, while its peers spoke, or is gone from
-    /// the list is let go of. Holds against hung, cut off and dead hosts alike; may hurt where traffic is thin.
+    /// A shot is out. Hosts answer first come first: waiting at one that still works is no worse than anew elsewhere.
+    /// A shot is let go of where the host is gone from the list, where it has answered shots sent clearly later, or
+    /// where it has been silent three times as long while its peers spoke (a long prompt of another dispatcher keeps a
+    /// sound reader silent). Holds against hung, cut off and dead hosts and those that lose some of their work; may
+    /// hurt where traffic is thin or a host does not keep to the order.
     fn watch(&mut self, t: usize, i: usize) {
         let now = self.now;
         let task = &self.tasks[t];
@@ -603,7 +606,8 @@
         let host = &self.hosts[shot.host as usize];
         let told = &self.offerings[task.offering];
         let peers = self.peers(host.listed.role).any(|(_, peer)| peer.heard > shot.sent);
-        let silent = now >= shot.sent + patience && host.heard <= shot.sent && peers;
+        let silent = now >= shot.sent + 3 * patience && host.heard <= shot.sent && peers;
+        let overtaken = now >= shot.sent + patience && host.overtook > shot.sent + patience / 4;
         let gone = host.listed.standing == Standing::Gone;
         let stays = shot.part != Part::Read && !told.again(&shot, &self.hosts, None, now);
         let want = &mut self.tasks[t].want;
@@ -611,7 +615,7 @@
         if shot.started.is_some() || shot.cancelled || stays || !self.terms.flag("allowed.cancel") {
             return;
         }
-        if silent || gone {
+        if silent || overtaken || gone {
             want.cancel = Some(i);
             return;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,6 +90,8 @@
     /// Prompt tokens that were read anew over all prompt tokens.
     pub(crate) anew: Ratio,
     pub(crate) heard: Duration,
+    /// When the latest shot went that it has answered.
+    pub(crate) overtook: Duration,
     pub(crate) full_until: Duration,
     /// Shots a second sent here, and the cold budget left.
     pub(crate) rate: Fading,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -569,3 +569,18 @@
     assert!(actions.contains(&Action::Cancel { task: 1, shot: 0 }), "{actions:?}");
     assert_eq!(sent(&desk.close(20, 1, 0, Cancelled)), Some(1 - reader));
 }
+
+#[test]
+fn a_shot_overtaken_at_its_host_is_let_go_of() {
+    // When a later task's shot went to the same writer; whether the first, not answered, is let go of then.
+    for (later, lets_go) in [(20, false), (200, true)] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+        desk.order(0, 1, 1, 1000);
+        desk.close(10, 1, 0, Read);
+        desk.order(later, 2, 2, 1000);
+        desk.close(later + 5, 2, 0, Read);
+        desk.tell(later + 30, Event::Started { task: 2, shot: 1 });
+        let actions = desk.tell(450, Event::Timer { token: 1 << 32 | 1 });
+        assert_eq!(actions.contains(&Action::Cancel { task: 1, shot: 1 }), lets_go, "{later}: {actions:?}");
+    }
+}
