--- a/src/rules.rs
+++ b/src/rules.rs
@@ -280,7 +280,6 @@
             // What the note says was kept counts: a host that forgot one text has likely forgotten more.
             if shot.thought_kept > 0 {
                 let found = closed.kept_tokens.min(shot.thought_kept);
-                host.forgot = if found < shot.thought_kept / 2 { shot.sent } else { host.forgot };
                 host.trust.add(f64::from(found), f64::from(shot.thought_kept), KEEP);
             }
             note_kept(&mut self.sessions, order.session, shot.host, order.prompt_tokens, now);
@@ -307,26 +306,24 @@
         }
     }
 
-    /// Tokens of a task's prompt that a host is thought to have kept, and when it read them last.
-    fn kept(&self, order: &Order, h: u32) -> (u32, Duration) {
+    /// Tokens of a task's prompt that a host is thought to have kept.
+    fn kept(&self, order: &Order, h: u32) -> u32 {
         let of = |table: &[Kept], key: Option<Key>, tokens: u32| {
-            let by = find_kept(table, key)?.by;
+            let kept = find_kept(table, key)?;
             // Kept texts give way to newer ones in time; a minute is many times a session's pause.
-            let good = |at: Duration| self.now - at < Duration::from_secs(60);
-            let found = by.iter().find(|(by, kept, at)| *by == h && *kept > 0 && good(*at));
-            found.map(|(_, kept, at)| (tokens.min(*kept), *at))
+            let good =
+                |(by, _, at): &&(u32, u32, Duration)| *by == h && self.now - *at < Duration::from_secs(60);
+            kept.by.iter().find(good).map(|(_, kept, _)| tokens.min(*kept)).filter(|kept| *kept > 0)
         };
-        let home = if self.at_home(order, h) { order.shared_tokens } else { 0 };
-        let shared = of(&self.shared, order.shared, order.shared_tokens).unwrap_or((home, Duration::ZERO));
-        of(&self.sessions, order.session, order.prompt_tokens).unwrap_or_default().max(shared)
+        let shared = of(&self.shared, order.shared, order.shared_tokens);
+        let shared = shared.unwrap_or_else(|| if self.at_home(order, h) { order.shared_tokens } else { 0 });
+        of(&self.sessions, order.session, order.prompt_tokens).unwrap_or(0).max(shared)
     }
 
-    /// Prompt tokens left to read. Texts read before the host last forgot one are deducted only as far as its notes
-    /// have borne them out of late. Holds against flushes and against texts dropped for want of memory.
+    /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of late.
+    /// Holds against flushes and against texts dropped for want of memory.
     fn net(&self, order: &Order, h: u32) -> f64 {
-        let (host, (kept, at)) = (&self.hosts[h as usize], self.kept(order, h));
-        let trust = if at > host.forgot { 1.0 } else { host.trust.value() };
-        f64::from(order.prompt_tokens) - f64::from(kept) * trust
+        f64::from(order.prompt_tokens) - f64::from(self.kept(order, h)) * self.hosts[h as usize].trust.value()
     }
 
     /// The session's last reader, else the shared text's, else the text's first home.
@@ -679,7 +676,7 @@
             net,
             charge: if part == Part::Read { 0.0 } else { stream },
             queue: self.to_read(h) + net,
-            thought_kept: if reads { self.kept(&order, h).0 } else { 0 },
+            thought_kept: if reads { self.kept(&order, h) } else { 0 },
             out: true,
             ..Shot::default()
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,8 +87,6 @@
     /// Seconds for each token to read; kept tokens found over those thought so.
     pub(crate) reads: Ratio,
     pub(crate) trust: Ratio,
-    /// When the last read went that found less than half of what was thought kept.
-    pub(crate) forgot: Duration,
     /// Prompt tokens that were read anew over all prompt tokens.
     pub(crate) anew: Ratio,
     pub(crate) heard: Duration,
