--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,8 @@
-//! All decisions of tulipstall. `Rules::new` takes a seed and the terms told at start; `Rules::on` takes one event
-//! at a time and appends the actions that it calls for. Both are plain data, defined in `src/interface.rs`. Nothing
-//! here reads a clock, and equal events give equal actions. An event changes what a task wants (`plan`); `settle`
-//! alone compares that with what is out, held and timed, and emits the difference.
+//! All decisions of tulipstall. `Rules::new` takes a seed and the terms told at start; `Rules::on` takes one
+//! event at a time and appends the actions that it calls for. Both are plain data, defined in
+//! `src/interface.rs`. Nothing here reads a clock, and equal events give equal actions. An event changes what
+//! a task wants (`plan`); `settle` alone compares that with what is out, held and timed, and emits the
+//! difference.
 
 use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Terms};
 use crate::state::{
@@ -16,8 +17,8 @@
 const KEEP: f64 = 0.8;
 
 impl Offering {
-    /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable one
-    /// always, a referenced one inside its group and window, a single-use one never.
+    /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable
+    /// one always, a referenced one inside its group and window, a single-use one never.
     fn again(&self, shot: &Shot, hosts: &[Host], there: Option<&Host>, now: Duration) -> bool {
         let (from, there) = (&hosts[shot.host as usize].listed, there.map(|host| &host.listed));
         let same = there.is_none_or(|there| match self.group.as_str() {
@@ -144,7 +145,8 @@
             }
             host.listed = *line;
         }
-        // What waits at a host that is gone turns away from it at once; what waits for a host may have one now.
+        // What waits at a host that is gone turns away from it at once; what waits for a host may have one
+        // now.
         for t in 0..self.tasks.len() {
             self.plan(t);
             self.settle(t, out);
@@ -189,8 +191,9 @@
         order.task
     }
 
-    /// The gain of a task against the most that any brings; what is beyond its customer's share brings less. Each
-    /// dispatcher allows a customer its part of the share, and two seconds' worth at once, as traffic is not even.
+    /// The gain of a task against the most that any brings; what is beyond its customer's share brings less.
+    /// Each dispatcher allows a customer its part of the share, and two seconds' worth at once, as traffic is
+    /// not even.
     fn rank(&mut self, order: &Order, offering: usize) -> f64 {
         let now = self.now;
         let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
@@ -216,6 +219,7 @@
         host.reading -= shot.net;
         host.overtook = host.overtook.max(shot.sent);
         if shot.part == Part::Write {
+            // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
             self.first_time += 0.15 * (waited - self.first_time);
         } else {
             host.reads.add(waited, shot.queue + STEP, KEEP);
@@ -247,6 +251,7 @@
         if host.shots_out == 0 {
             (host.reading, host.writing) = (0.0, 0.0);
         }
+        // One lost connection or two errors take a host past half of certain; a silence takes it there.
         let blame = match closed.outcome {
             Outcome::Error => 0.35,
             Outcome::TimedOut => 0.5,
@@ -267,7 +272,8 @@
         } else if !shot.failed {
             host.answered(now);
         }
-        // One line for the one on call when a host falls under suspicion, and one when it answers again.
+        // A line for the one on call when a host falls under suspicion (half of certain: a silence, two
+        // errors) and when it answers again.
         let doubt = host.doubt(now);
         if host.suspected != (doubt >= 0.5) && (doubt >= 0.5 || doubt < 0.2 && !shot.failed) {
             host.suspected = doubt >= 0.5;
@@ -320,8 +326,8 @@
         of(&self.sessions, order.session, order.prompt_tokens).unwrap_or(0).max(shared)
     }
 
-    /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of late.
-    /// Holds against flushes and against texts dropped for want of memory.
+    /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
+    /// late. Holds against flushes and against texts dropped for want of memory.
     fn net(&self, order: &Order, h: u32) -> f64 {
         f64::from(order.prompt_tokens) - f64::from(self.kept(order, h)) * self.hosts[h as usize].trust.value()
     }
@@ -334,9 +340,9 @@
         known.or_else(|| home(order.shared?).map(|(h, _)| h))
     }
 
-    /// A shared text is at home at the two readers that a hash of both ranks highest. Dispatchers that cannot talk
-    /// thus bring one text to the same readers, and the readers' memory holds more texts. A text not known to be
-    /// kept anywhere is thought kept there; the note on the first read corrects that.
+    /// A shared text is at home at the two readers that a hash of both ranks highest. Dispatchers that cannot
+    /// talk thus bring one text to the same readers, and the readers' memory holds more texts. A text not
+    /// known to be kept anywhere is thought kept there; the note on the first read corrects that.
     fn at_home(&self, order: &Order, h: u32) -> bool {
         let (Some(key), own) = (order.shared, &self.hosts[h as usize]) else { return false };
         let rank = Self::home_rank(key, own);
@@ -371,10 +377,10 @@
         self.cold_budget(h) >= 1.0
     }
 
-    /// Shots that a cold host may be sent now. The budget fills at the part of a warm peer's own traffic that the
-    /// host can do for certain, never above one shot, and starts empty: no burst, and what this dispatcher forgot
-    /// at its own restart cannot be spent twice. All dispatchers' parts add up to a warm peer's traffic times that
-    /// part, well inside the multiple at which the host falls.
+    /// Shots that a cold host may be sent now. The budget fills at the part of a warm peer's own traffic that
+    /// the host can do for certain, never above one shot, and starts empty: no burst, and what this
+    /// dispatcher forgot at its own restart cannot be spent twice. All dispatchers' parts add up to a warm
+    /// peer's traffic times that part, well inside the multiple at which the host falls.
     fn cold_budget(&mut self, h: u32) -> f64 {
         let now = self.now;
         let host = &self.hosts[h as usize];
@@ -389,7 +395,8 @@
         let asked = self.orders.left(now, 4.0) / self.peers(role).count().max(1) as f64;
         let each = if warm > 0.0 { asked.min(rate / warm) } else { asked };
         let cold_from = self.terms.number("rules.cold_from").unwrap_or(0.1);
-        // Warming evenly, but never past four fifths of what even a host that stays cold throughout would stand.
+        // Warming evenly, but never past four fifths of what even a host that stays cold throughout would
+        // stand.
         let stands = 0.8 * cold_from * self.terms.number("rules.fall_multiple").unwrap_or(1.0);
         let part = (cold_from + (1.0 - cold_from) * age.max(0.0)).min(stands);
         let host = &mut self.hosts[h as usize];
@@ -398,20 +405,22 @@
         host.budget.level
     }
 
-    /// How many times slower than its peers a reader has been of late; 1 within the usual spread. Sound readers with
-    /// long prompts differ by up to 2.5; what was seen is let go of in ten seconds, so that it is tried again.
+    /// How many times slower than its peers a reader has been of late; 1 within the usual spread. Sound
+    /// readers with long prompts differ by up to 2.5; what was seen is let go of in ten seconds, so that it
+    /// is tried again.
     fn slow(&self, h: u32) -> f64 {
         let host = &self.hosts[h as usize];
         let others = self.peers(host.listed.role).filter(|(i, _)| *i != h);
         let (spent, done) =
             others.fold((0.0, 0.0), |s, (_, peer)| (s.0 + peer.reads.spent, s.1 + peer.reads.done));
         let times = if spent > 0.0 { host.reads.value() * done / spent } else { 1.0 };
+        // Ten bounds what a reading taken in a jam can do.
         let seen = Fading { level: times.min(10.0) - 1.0, at: host.heard };
         if times < 2.5 { 1.0 } else { 1.0 + seen.left(self.now, 10.0) }
     }
 
-    /// Tokens before a new read: own pending ones or the late report of tokens to read, whichever is larger; a host
-    /// without a late report counts at the average of those that have one.
+    /// Tokens before a new read: own pending ones or the late report of tokens to read, whichever is larger;
+    /// a host without a late report counts at the average of those that have one.
     fn to_read(&self, h: u32) -> f64 {
         let host = &self.hosts[h as usize];
         let late = |host: &Host| {
@@ -425,12 +434,13 @@
         host.reading.max(late(host).unwrap_or_else(average))
     }
 
-    /// Pending tokens of a host for a task that would add `net`, with suspicion and slowness charged in tokens.
+    /// Pending tokens of a host for a task that would add `net`, with suspicion and slowness charged in
+    /// tokens.
     fn pending(&self, h: u32, part: Part, net: f64) -> f64 {
         let host = &self.hosts[h as usize];
         let streams = if part == Part::Read { 0.0 } else { host.writing };
-        // Fast failures empty a host. Eight long prompts for a certain suspicion stand in for the work that it
-        // lost, and grow with what is out there on trial.
+        // Fast failures empty a host. Eight long prompts for a certain suspicion stand in for the work that
+        // it lost, and grow with what is out there on trial.
         let doubt = host.doubt(self.now) * 8.0 * self.long_prompt * f64::from(1 + host.shots_out);
         (streams + self.to_read(h) + net) * self.slow(h) + doubt
     }
@@ -467,18 +477,20 @@
         if let Some(last) = last.filter(|h| within(self.counts.get(*h as usize), self.long_prompt)) {
             return Some(last);
         }
-        // Less than a step apart is alike: the own zone, then chance, so that dispatchers don't follow one another to one reader.
+        // Less than a step apart is alike: the own zone, then chance, so that dispatchers don't follow one
+        // another to one reader.
         let alike = (0..).zip(&self.counts).filter(|(_, count)| within(Some(count), STEP));
         let ranked = alike
             .map(|(h, _): (u32, _)| (self.zone == self.hosts[h as usize].listed.zone, self.chance.next(), h));
         ranked.max().map(|(.., h)| h)
     }
 
-    /// The writer with the fewest pending tokens. Within four times this task's own charge, what a few picks tip, the
-    /// reader's cell is preferred, then its zone, then chance.
+    /// The writer with the fewest pending tokens. Within four times this task's own charge, what a few picks
+    /// tip, the reader's cell is preferred, then its zone, then chance.
     fn pick_writer(&mut self, t: usize, part: Part) -> Option<(u32, f64)> {
         let fewest = self.count(t, part);
         let task = &self.tasks[t];
+        // Four: with one, three fifths of the tokens left their cell; eight let near writers fill up.
         let margin = 4.0 * (f64::from(task.order.prompt_tokens) + task.output);
         let from = task.held_by.map(|h| self.hosts[h as usize].listed);
         let far = |host: &Host| match from {
@@ -498,23 +510,25 @@
         self.hosts[h as usize].reads.value() * (self.to_read(h) + net + STEP)
     }
 
-    /// Whether a read begun now would end in time for a first token at the agreed time. What brings less than the
-    /// most may wait for less: half the agreed time of what brings the most, in proportion to its gain. A host that
-    /// has been quiet may always be tried, so that an old, bad reading cannot shut it for good.
+    /// Whether a read begun now would end in time for a first token at the agreed time. What brings less than
+    /// the most may wait for less: half the agreed time of what brings the most, in proportion to its gain. A
+    /// host that has been quiet may always be tried, so that an old, bad reading cannot shut it for good.
     fn read_in_time(&self, t: usize, h: u32) -> bool {
         let (now, task, host) = (self.now, &self.tasks[t], &self.hosts[h as usize]);
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
-        // Not with less than half the agreed time left, as where clients have grown impatient: it would end too late.
+        // Not with less than half the agreed time left, as where clients have grown impatient: it would end
+        // too late.
         let ample = by > 0.5 * self.offerings[task.offering].agreed;
         let trial = ample && host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
         let in_turn = task.rank >= 1.0 || host.reads.value() * self.to_read(h) < wait;
         trial || (in_turn && self.read_expected(t, h) + self.first_time < by)
     }
 
-    /// Overload: what the writers have no memory for is bounced before it is read, beyond a customer's share first,
-    /// then what brings less, and a quarter past the full for what brings the most, as charges are outputs' ends. Own streams stand for every dispatcher's, unless the hosts report that more is held.
+    /// Overload: what the writers have no memory for is bounced before it is read, beyond a customer's share
+    /// first, then what brings less, and a quarter past the full for what brings the most, as charges are
+    /// outputs' ends. Own streams stand for every dispatcher's, unless the hosts report that more is held.
     fn room(&self, t: usize) -> bool {
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
         // A host lost without notice counts no longer once it is suspected.
@@ -526,8 +540,8 @@
         memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
-    /// A reader, or a mixed host for its share of tasks whole: where it has the fewest pending tokens of all that
-    /// write, or where no reader can read in time.
+    /// A reader, or a mixed host for its share of tasks whole: where it has the fewest pending tokens of all
+    /// that write, or where no reader can read in time.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
@@ -578,7 +592,8 @@
         let task = &mut self.tasks[t];
         task.want.keep = task.want.answer.is_none();
         if let Some((h, part)) = pick {
-            // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed time.
+            // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed
+            // time.
             task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed));
             let until = if cancel { stop } else { stop.min(now + 6 * task.patience) };
             task.want.shot = Some((h, part, until));
@@ -594,11 +609,11 @@
         }
     }
 
-    /// A shot is out. Hosts answer first come first: waiting at one that still works is no worse than anew elsewhere.
-    /// A shot is let go of where the host is gone from the list, where it has answered shots sent clearly later, or
-    /// where it has been silent three times as long while its peers spoke (a long prompt of another dispatcher keeps a
-    /// sound reader silent). Holds against hung, cut off and dead hosts and those that lose some of their work; may
-    /// hurt where traffic is thin or a host does not keep to the order.
+    /// A shot is out. Hosts answer first come first: waiting at one that still works is no worse than anew
+    /// elsewhere. A shot is let go of where the host is gone from the list, where it has answered shots sent
+    /// clearly later, or where it has been silent three times as long while its peers spoke (a long prompt of
+    /// another dispatcher keeps a sound reader silent). Holds against hung, cut off and dead hosts and those
+    /// that lose some of their work; may hurt where traffic is thin or a host does not keep to the order.
     fn watch(&mut self, t: usize, i: usize) {
         let now = self.now;
         let task = &self.tasks[t];
@@ -639,7 +654,8 @@
         let number = t as u32;
         if let Some(bounce) = task.want.answer.take() {
             task.ended = true;
-            // A tenth to three tenths of the agreed time: spread, and soon enough that the repeat may be in time.
+            // A tenth to three tenths of the agreed time: spread, and soon enough that the repeat may be in
+            // time.
             let most = self.terms.span("allowed.max_come_back_us").unwrap_or_default();
             let soon = self.offerings[task.offering].agreed
                 * (0.1 + f64::from(self.chance.next() >> 16) / 327_680.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,7 +111,8 @@
     pub(crate) host: u32,
     pub(crate) part: Part,
     pub(crate) sent: Duration,
-    /// Tokens to read, until read; tokens of the stream, until it ends; and all that were to be read before it.
+    /// Tokens to read, until read; tokens of the stream, until it ends; and all that were to be read before
+    /// it.
     pub(crate) net: f64,
     pub(crate) charge: f64,
     pub(crate) queue: f64,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -25,10 +25,12 @@
 impl Desk {
     /// `hosts` gives each host's role and cell.
     fn new(extra: &[(&str, &str)], hosts: &[(Role, u32)]) -> Desk {
-        let base = "dispatchers=2 offerings.0.agreed_time_us=1500000 offerings.0.gain=1 offerings.0.effect=replayable \
+        let base = "dispatchers=2 offerings.0.agreed_time_us=1500000 offerings.0.gain=1 \
+            offerings.0.effect=replayable \
             offerings.0.group=all offerings.0.window_us=5000000 service.token_pace_us.0=60000 \
             service.release_us=500000 allowed.max_shots=6 allowed.cancel=true \
-            allowed.come_back=true allowed.max_come_back_us=1000000 rules.cold_from=0.3 rules.warm_up_us=10000000 \
+            allowed.come_back=true allowed.max_come_back_us=1000000 \
+            rules.cold_from=0.3 rules.warm_up_us=10000000 \
             report.fields.0=x1 customers.0.quota_per_s=1000 over_share_gain=0.1 rules.fall_multiple=2.5";
         let mut terms = Terms::default();
         let base = base.split_whitespace().filter_map(|pair| pair.split_once('='));
@@ -122,7 +124,8 @@
 
 #[test]
 fn each_outcome_has_its_own_next_step() {
-    // The outcomes of the read and, where it ended well, of the shot at the writer; what the last one leads to.
+    // The outcomes of the read and, where it ended well, of the shot at the writer; what the last one leads
+    // to.
     type Case<'a> = (&'a [Outcome], &'a str);
     let cases: &[Case] = &[
         (&[Read], "S"),
@@ -152,8 +155,8 @@
 
 #[test]
 fn effects_are_not_repeated() {
-    // Effect, group, outcome of the first shot at a mixed host in cell 0, when; the hosts that may follow, else
-    // the answer. Hosts: 0 and 1 in cell 0, 2 in cell 1.
+    // Effect, group, outcome of the first shot at a mixed host in cell 0, when; the hosts that may follow,
+    // else the answer. Hosts: 0 and 1 in cell 0, 2 in cell 1.
     type Case<'a> = (&'a str, &'a str, Outcome, u64, &'a [u32], &'a str);
     let cases: &[Case] = &[
         ("replayable", "cell", Error, 100, &[0, 1, 2], ""),
@@ -206,8 +209,8 @@
 
 #[test]
 fn a_read_after_a_shot_that_may_have_run_keeps_to_its_group() {
-    // Effect, group; where the prompt is read anew once the state is gone: reader 0 of the shot's cell, or 1 that is
-    // less busy.
+    // Effect, group; where the prompt is read anew once the state is gone: reader 0 of the shot's cell, or 1
+    // that is less busy.
     for (effect, group, reader) in
         [("replayable", "cell", 1), ("referenced", "all", 1), ("referenced", "cell", 0)]
     {
@@ -294,7 +297,8 @@
 
 #[test]
 fn a_reader_is_picked_by_pending_tokens_net_of_kept_ones() {
-    // Tokens already sent to readers 0 and 1; tokens of the session's next prompt; whether its last reader (0) wins.
+    // Tokens already sent to readers 0 and 1; tokens of the session's next prompt; whether its last reader
+    // (0) wins.
     let cases: &[(&[u32], u32, bool)] =
         &[(&[], 1500, true), (&[900], 1500, true), (&[4000, 4000], 1500, false)];
     for (before, prompt, stays) in cases {
@@ -475,9 +479,9 @@
 
 #[test]
 fn kept_tokens_and_reports_count_as_far_as_notes_bear_them_out() {
-    // Of prompts of 4000 tokens, how many each note says were kept; whether a report of 8 thousand whole prompt
-    // tokens still turns the next session away from the reader that gave it.
-    // The same for 5000 tokens of its own pending there.
+    // Of prompts of 4000 tokens, how many each note says were kept; whether a report of 8 thousand whole
+    // prompt tokens still turns the next session away from the reader that gave it. The same for 5000 tokens
+    // of its own pending there.
     for (kept, report, turned) in [(0, 8.0, true), (3900, 8.0, false), (0, 0.0, true), (3900, 0.0, false)] {
         let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
         let mut teller = None;
@@ -522,8 +526,8 @@
 
 #[test]
 fn what_cannot_be_read_in_time_is_bounced_before_the_read() {
-    // Milliseconds that a prompt of 1000 tokens took of late, tokens pending at the reader, the gain of the task
-    // against the most, and the answer at once or the send.
+    // Milliseconds that a prompt of 1000 tokens took of late, tokens pending at the reader, the gain of the
+    // task against the most, and the answer at once or the send.
     let cases =
         [(400, 4000, "1", "B"), (40, 4000, "1", "S"), (100, 6000, "1", "S"), (100, 6000, "0.25", "B")];
     for (took, pending, gain, expected) in cases {
