--- a/src/rules.rs
+++ b/src/rules.rs
@@ -77,8 +77,9 @@
         let own = |field: &str| format!("offerings.{i}.{field}");
         let listed = |list: &str| terms.number(&format!("service.{list}.{i}"));
         Offering {
-            agreed: terms.number(&own("agreed_time_us")).unwrap_or(1e6) / 1e6,
-            agreed_per_token: listed("agreed_time_us_per_1000_prompt_tokens").unwrap_or(0.0) / 1e9,
+            agreed: terms.number(&own("agreed_time_us")).unwrap_or(1e6).clamp(0.0, 1e12) / 1e6,
+            agreed_per_token: listed("agreed_time_us_per_1000_prompt_tokens").unwrap_or(0.0).clamp(0.0, 1e9)
+                / 1e9,
             pace: listed("token_pace_us").unwrap_or(50_000.0).max(1.0) / 1e6,
             gain: terms.number(&own("gain")).unwrap_or(1.0),
             effect: terms.text(&own("effect")).unwrap_or_default().to_owned(),
@@ -88,7 +89,8 @@
     }
 
     pub fn on(&mut self, now: Duration, event: &Event, out: &mut Vec<Action>) {
-        self.now = now;
+        // A clock that goes back stands still here.
+        self.now = self.now.max(now);
         let task = match event {
             Event::Hosts { whole, listed } => return self.hosts_listed(*whole, listed, out),
             Event::ListFailed => return out.push(Action::AskList),
@@ -305,8 +307,8 @@
         let fields = ["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"];
         for (field, value) in fields.iter().zip(load.values).take(load.count) {
             match self.terms.text(field) {
-                Some("x0") => host.memory_held = value,
-                Some("x1") => host.to_read = Some((self.now, value * 1000.0 * anew)),
+                Some("x0") => host.memory_held = value.clamp(0.0, 1.0),
+                Some("x1") => host.to_read = Some((self.now, value.clamp(0.0, 1e6) * 1000.0 * anew)),
                 _ => {}
             }
         }
@@ -594,7 +596,7 @@
         if let Some((h, part)) = pick {
             // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed
             // time.
-            task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed));
+            task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed).min(1e6));
             let until = if cancel { stop } else { stop.min(now + 6 * task.patience) };
             task.want.shot = Some((h, part, until));
             task.want.wake = Some(now + task.patience).filter(|at| cancel && *at < stop);
