Draw among hosts with alike counts before a mixed host takes a task whole

Cause: a dispatcher of 160 has nothing pending anywhere, so a mixed host always had 'the fewest' and every task of every dispatcher went whole to the few mixed hosts. Now hosts less than a step apart are alike and chance decides.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -542,19 +542,28 @@
         memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
+    /// Whether the fewest pending tokens of all that write are a mixed host's. Hosts less than a step apart are
+    /// alike, and chance decides: a dispatcher with little traffic has nothing pending anywhere, and hundreds
+    /// of them would else meet at the few mixed hosts. Holds against any herd at hosts that look empty.
+    fn mixed_in_turn(&mut self, t: usize) -> bool {
+        let fewest = self.count(t, Part::Write);
+        let alike = (0..).zip(&self.counts).filter(|(_, count)| **count <= fewest + STEP);
+        let drawn = alike.max_by_key(|_| self.chance.next()).map(|(h, _): (usize, _)| h);
+        drawn.is_some_and(|h| self.hosts[h].listed.role == Role::Mixed)
+    }
+
     /// A reader, or a mixed host for its share of tasks whole: where it has the fewest pending tokens of all
     /// that write, or where no reader can read in time.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
-        let whole = self.pick_writer(t, Part::Whole);
-        let fewest = if whole.is_some() { self.count(t, Part::Write) } else { 0.0 };
+        let whole = self.pick_writer(t, Part::Whole).map(|(h, _)| h);
+        let share = whole.is_some() && self.mixed_in_turn(t);
         let first = self.tasks[t].shots.is_empty();
         let late = |h: u32| first && !self.read_in_time(t, h);
-        let (reads, writes) = (reader.filter(|h| !late(*h)), whole.filter(|(h, _)| !late(*h)));
-        let pick = match (reads, writes) {
-            (Some(_), Some((h, count))) if count <= fewest => Some((h, Part::Whole)),
+        let pick = match (reader.filter(|h| !late(*h)), whole.filter(|h| !late(*h))) {
+            (Some(_), Some(h)) if share => Some((h, Part::Whole)),
             (Some(h), _) => Some((h, Part::Read)),
-            (None, writes) => writes.map(|(h, _)| (h, Part::Whole)),
+            (None, whole) => whole.map(|h| (h, Part::Whole)),
         };
         if pick.is_none() && (reader.is_some() || whole.is_some()) {
             self.give_up(t);
