Let states leave cells whose readers outnumber their writers, in proportion

Cause: 'near first' is a choice that every dispatcher makes alike; where a rack has more of the readers than of the writers, its writers choke unseen by any one dispatcher.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -147,6 +147,7 @@
             }
             host.listed = *line;
         }
+        self.weigh_cells();
         // What waits at a host that is gone turns away from it at once; what waits for a host may have one
         // now.
         for t in 0..self.tasks.len() {
@@ -487,23 +488,56 @@
         ranked.max().map(|(.., h)| h)
     }
 
+    /// What every dispatcher would send a cell's writers if each state stayed in its cell, against what they can
+    /// take, both as parts of the fleet. Own counts say little of that where hundreds of dispatchers see a
+    /// task a second each: racks with many readers would choke their few writers, unseen by all.
+    fn weigh_cells(&mut self) {
+        let part = |role: Role, cell: Option<u32>| {
+            let all = self.peers(role).filter(|(_, host)| cell.is_none_or(|cell| host.listed.cell == cell));
+            all.count() as f64
+        };
+        let (readers, writers) = (part(Role::Reader, None).max(1.0), part(Role::Writer, None).max(1.0));
+        let mut over = Vec::with_capacity(self.hosts.len());
+        for host in &self.hosts {
+            let cell = Some(host.listed.cell);
+            let (reads, writes) = (part(Role::Reader, cell), part(Role::Writer, cell));
+            over.push((reads / readers - writes / writers, writes.max(1.0), reads / readers));
+        }
+        for (host, (over, writes, read)) in self.hosts.iter_mut().zip(over) {
+            host.spare = f64::max(-over, 0.0) / writes;
+            host.leaves = if read > 0.0 { f64::max(over, 0.0) / read } else { 0.0 };
+        }
+    }
+
     /// The writer with the fewest pending tokens. Within four times this task's own charge, what a few picks
-    /// tip, the reader's cell is preferred, then its zone, then chance.
-    fn pick_writer(&mut self, t: usize, part: Part) -> Option<(u32, f64)> {
+    /// tip, the reader's cell is preferred, as far as its writers can take what all its readers read; then
+    /// cells with writers to spare, by chance in proportion, in its zone first.
+    fn pick_writer(&mut self, t: usize, part: Part) -> Option<u32> {
         let fewest = self.count(t, part);
         let task = &self.tasks[t];
         // Four: with one, three fifths of the tokens left their cell; eight let near writers fill up.
         let margin = 4.0 * (f64::from(task.order.prompt_tokens) + task.output);
-        let from = task.held_by.map(|h| self.hosts[h as usize].listed);
-        let far = |host: &Host| match from {
-            Some(from) if from.cell == host.listed.cell => 0,
-            Some(from) if from.zone == host.listed.zone => 1,
-            _ => 2,
+        let from = task.held_by.map(|h| self.hosts[h as usize]);
+        let leaves = from.is_some_and(|from| self.chance.part() < from.leaves);
+        let near = |to: &Host| match &from {
+            Some(from) if from.listed.cell == to.listed.cell => {
+                if leaves {
+                    3
+                } else {
+                    0
+                }
+            }
+            Some(from) => 1 + u32::from(from.listed.zone != to.listed.zone) + 3 * u32::from(to.spare <= 0.0),
+            None => 0,
         };
-        let near =
+        let alike =
             (0..).zip(&self.counts).filter(|(_, count)| count.is_finite() && **count <= fewest + margin);
-        let ranked = near.map(|(h, _): (u32, _)| (far(&self.hosts[h as usize]), self.chance.next(), h));
-        ranked.min().map(|(_, _, h)| (h, fewest))
+        // The least of -ln(chance) / spare falls on each host in proportion to its spare.
+        let ranked = alike.map(|(h, _): (u32, _)| {
+            let host = &self.hosts[h as usize];
+            (near(host), -self.chance.part().ln() / host.spare.max(1e-9), h)
+        });
+        ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
     }
 
     /// Seconds until a read begun there now would end, by how long its tokens have taken of late.
@@ -556,7 +590,7 @@
     /// that write, or where no reader can read in time.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
-        let whole = self.pick_writer(t, Part::Whole).map(|(h, _)| h);
+        let whole = self.pick_writer(t, Part::Whole);
         let share = whole.is_some() && self.mixed_in_turn(t);
         let first = self.tasks[t].shots.is_empty();
         let late = |h: u32| first && !self.read_in_time(t, h);
@@ -592,7 +626,7 @@
             return self.give_up(t);
         }
         let pick = match held {
-            Some(_) => self.pick_writer(t, Part::Write).map(|(h, _)| (h, Part::Write)),
+            Some(_) => self.pick_writer(t, Part::Write).map(|h| (h, Part::Write)),
             None => self.pick_start(t),
         };
         let expected = match pick {
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,6 +13,11 @@
         self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
     }
+
+    /// Above 0, up to 1.
+    pub(crate) fn part(&mut self) -> f64 {
+        (f64::from(self.next()) + 1.0) / 4_294_967_296.0
+    }
 }
 
 /// A level that fades with time, by a factor of e each span of seconds.
@@ -93,6 +98,9 @@
     /// When the latest shot went that it has answered.
     pub(crate) overtook: Duration,
     pub(crate) full_until: Duration,
+    /// Of its cell: the part of its reads that has to leave it, and what its writers can take beyond, each.
+    pub(crate) leaves: f64,
+    pub(crate) spare: f64,
     /// Shots a second sent here, and the cold budget left.
     pub(crate) rate: Fading,
     pub(crate) budget: Fading,
