--- a/src/rules.rs
+++ b/src/rules.rs
@@ -489,23 +489,37 @@
     }
 
     /// What every dispatcher would send a cell's writers if each state stayed in its cell, against what they can
-    /// take, both as parts of the fleet. Own counts say little of that where hundreds of dispatchers see a
-    /// task a second each: racks with many readers would choke their few writers, unseen by all.
+    /// take, both as parts of the fleet; and so for the zone. Own counts say little of that where hundreds of
+    /// dispatchers see a task a second each: racks with many readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
-        let part = |role: Role, cell: Option<u32>| {
-            let all = self.peers(role).filter(|(_, host)| cell.is_none_or(|cell| host.listed.cell == cell));
-            all.count() as f64
+        let part = |role: Role, within: &dyn Fn(&Listed) -> bool| {
+            let found = self.peers(role).filter(|(_, host)| within(&host.listed)).count() as f64;
+            (found / self.peers(role).count().max(1) as f64, found.max(1.0))
         };
-        let (readers, writers) = (part(Role::Reader, None).max(1.0), part(Role::Writer, None).max(1.0));
-        let mut over = Vec::with_capacity(self.hosts.len());
-        for host in &self.hosts {
-            let cell = Some(host.listed.cell);
-            let (reads, writes) = (part(Role::Reader, cell), part(Role::Writer, cell));
-            over.push((reads / readers - writes / writers, writes.max(1.0), reads / readers));
-        }
-        for (host, (over, writes, read)) in self.hosts.iter_mut().zip(over) {
-            host.spare = f64::max(-over, 0.0) / writes;
-            host.leaves = if read > 0.0 { f64::max(over, 0.0) / read } else { 0.0 };
+        let weigh = |host: &Host| {
+            let cell = |other: &Listed| other.cell == host.listed.cell;
+            let ((reads, readers), (writes, writers)) =
+                (part(Role::Reader, &cell), part(Role::Writer, &cell));
+            (
+                f64::max(reads - writes, 0.0) / reads.max(1e-9),
+                f64::max(writes - reads, 0.0) / writers,
+                reads / readers,
+            )
+        };
+        let weighed: Vec<(f64, f64, f64)> = self.hosts.iter().map(weigh).collect();
+        let zone = |zone: u32| {
+            let inside =
+                (self.hosts.iter().zip(&weighed)).filter(|(host, _)| host.runs() && host.listed.zone == zone);
+            inside.fold((0.0, 0.0), |(over, spare), (host, (leaves, each, read))| match host.listed.role {
+                Role::Reader => (over + leaves * read, spare),
+                Role::Writer => (over, spare + each),
+                _ => (over, spare),
+            })
+        };
+        let zones: Vec<(f64, f64)> = self.hosts.iter().map(|host| zone(host.listed.zone)).collect();
+        for ((host, (leaves, spare, _)), (over, room)) in self.hosts.iter_mut().zip(weighed).zip(zones) {
+            (host.leaves, host.spare) = (leaves, spare);
+            host.leaves_zone = f64::max(over - room, 0.0) / over.max(1e-9);
         }
     }
 
@@ -519,15 +533,13 @@
         let margin = 4.0 * (f64::from(task.order.prompt_tokens) + task.output);
         let from = task.held_by.map(|h| self.hosts[h as usize]);
         let leaves = from.is_some_and(|from| self.chance.part() < from.leaves);
+        let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
-            Some(from) if from.listed.cell == to.listed.cell => {
-                if leaves {
-                    3
-                } else {
-                    0
-                }
+            Some(from) if from.listed.cell == to.listed.cell => 5 * u32::from(leaves),
+            Some(from) => {
+                let away = (from.listed.zone != to.listed.zone) != leaves_zone;
+                1 + u32::from(away) + 2 * u32::from(to.spare <= 0.0)
             }
-            Some(from) => 1 + u32::from(from.listed.zone != to.listed.zone) + 3 * u32::from(to.spare <= 0.0),
             None => 0,
         };
         let alike =
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,8 +98,10 @@
     /// When the latest shot went that it has answered.
     pub(crate) overtook: Duration,
     pub(crate) full_until: Duration,
-    /// Of its cell: the part of its reads that has to leave it, and what its writers can take beyond, each.
+    /// Of its cell: the part of its reads that has to leave it, and of these its zone; and what each writer of
+    /// it can take beyond.
     pub(crate) leaves: f64,
+    pub(crate) leaves_zone: f64,
     pub(crate) spare: f64,
     /// Shots a second sent here, and the cold budget left.
     pub(crate) rate: Fading,
