Let patience follow the time that 19 of 20 answers keep within

Also holds against any spell in which all hosts of a part slow down together; may hurt where answers are slow at first and then a host hangs.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,6 +50,8 @@
     long_prompt: f64,
     orders: Fading,
     first_time: f64,
+    /// Seconds within which 19 of 20 shots are answered that read, write and do both.
+    usual: [f64; 3],
 }
 
 impl Rules {
@@ -68,6 +70,8 @@
             zone: terms.number("zone_index").map_or(u32::MAX, |zone| zone as u32),
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
+            // Until answers have been seen: nothing is held for slow before a quarter of the agreed time.
+            usual: [0.0; 3],
             terms: terms.clone(),
             ..Rules::default()
         }
@@ -211,6 +215,13 @@
         rank
     }
 
+    /// The time that all but a twentieth of the shots of a part keep within, by small steps up and smaller ones
+    /// down: a few answers raise it, a hundred lower it.
+    fn answered_in(&mut self, part: Part, seconds: f64) {
+        let usual = &mut self.usual[part as usize];
+        *usual = if seconds > *usual { (*usual * 1.2).max(0.5 * seconds) } else { *usual * 0.99 };
+    }
+
     fn started(&mut self, t: u32, shot: u32) -> u32 {
         let now = self.now;
         let Some(task) = self.tasks.get_mut(t as usize) else { return t };
@@ -228,6 +239,8 @@
             host.reads.add(waited, shot.queue + STEP, KEEP);
         }
         host.answered(now);
+        let part = shot.part;
+        self.answered_in(part, waited);
         t
     }
 
@@ -247,6 +260,9 @@
             _ => {}
         }
         let (shot, order) = (*shot, task.order);
+        if closed.outcome == Outcome::Read {
+            self.answered_in(shot.part, (now - shot.sent).as_secs_f64());
+        }
         let host = &mut self.hosts[shot.host as usize];
         host.shots_out = host.shots_out.saturating_sub(1);
         host.reading -= if shot.started.is_none() { shot.net } else { 0.0 };
@@ -651,7 +667,8 @@
         if let Some((h, part)) = pick {
             // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed
             // time.
-            task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed).min(1e6));
+            let usual = self.usual[part as usize];
+            task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed).max(usual).min(1e6));
             let until = if cancel { stop } else { stop.min(now + 6 * task.patience) };
             task.want.shot = Some((h, part, until));
             task.want.wake = Some(now + task.patience).filter(|at| cancel && *at < stop);
