Bring sessions unknown here to a hashed home of their text; more homes for texts in demand

Cause: with many dispatchers a session's next turn comes to one that never saw it, and all of them took a text's first home first, so that ten readers of forty read ten times what the others did.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Terms};
 use crate::state::{
-    Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted, find_kept, note_kept,
+    Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted, find_kept, note_demand, note_kept,
 };
 use std::time::Duration;
 
@@ -49,6 +49,7 @@
     counts: Vec<f64>,
     long_prompt: f64,
     orders: Fading,
+    demand: Fading,
     first_time: f64,
     /// Seconds within which 19 of 20 shots are answered that read, write and do both.
     usual: [f64; 3],
@@ -168,6 +169,9 @@
         }
         let offering = order.offering.map_or(0, |o| o as usize).min(self.offerings.len() - 1);
         let rank = self.rank(order, offering);
+        let all = self.demand.left(now, 30.0) + 1.0;
+        self.demand.set(now, all);
+        let homes = self.find_homes(order);
         let told = &self.offerings[offering];
         let prompt = f64::from(order.prompt_tokens);
         let task = &mut self.tasks[t];
@@ -179,6 +183,7 @@
             order: *order,
             offering,
             rank,
+            homes,
             arrived: now,
             due: now + Duration::from_secs_f64(told.agreed + told.agreed_per_token * prompt),
             wait_until: now + Duration::from_secs_f64(told.agreed / 2.0),
@@ -331,8 +336,10 @@
         }
     }
 
-    /// Tokens of a task's prompt that a host is thought to have kept.
-    fn kept(&self, order: &Order, h: u32) -> u32 {
+    /// Tokens of a task's prompt that a host is thought to have kept. A text not known to be kept anywhere is
+    /// thought kept at its homes; the note on the first read corrects that.
+    fn kept(&self, t: usize, h: u32) -> u32 {
+        let (order, homes) = (&self.tasks[t].order, &self.tasks[t].homes);
         let of = |table: &[Kept], key: Option<Key>, tokens: u32| {
             let kept = find_kept(table, key)?;
             // Kept texts give way to newer ones in time; a minute is many times a session's pause.
@@ -341,32 +348,54 @@
             kept.by.iter().find(good).map(|(_, kept, _)| tokens.min(*kept)).filter(|kept| *kept > 0)
         };
         let shared = of(&self.shared, order.shared, order.shared_tokens);
-        let shared = shared.unwrap_or_else(|| if self.at_home(order, h) { order.shared_tokens } else { 0 });
+        let shared = shared.unwrap_or(if homes.contains(&h) { order.shared_tokens } else { 0 });
         of(&self.sessions, order.session, order.prompt_tokens).unwrap_or(0).max(shared)
     }
 
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
     /// late. Holds against flushes and against texts dropped for want of memory.
-    fn net(&self, order: &Order, h: u32) -> f64 {
-        f64::from(order.prompt_tokens) - f64::from(self.kept(order, h)) * self.hosts[h as usize].trust.value()
+    fn net(&self, t: usize, h: u32) -> f64 {
+        f64::from(self.tasks[t].order.prompt_tokens)
+            - f64::from(self.kept(t, h)) * self.hosts[h as usize].trust.value()
+    }
+
+    /// A shared text is at home at the readers that a hash of both ranks highest: dispatchers that cannot talk
+    /// thus bring one text to the same readers, and the readers' memory holds more texts. Two, or as many as
+    /// the text's part of the tasks seen here would keep busy, so that a text in demand does not choke them.
+    fn find_homes(&mut self, order: &Order) -> [u32; 8] {
+        let mut homes = [u32::MAX; 8];
+        let Some(key) = order.shared else { return homes };
+        let readers = self.peers(Role::Reader).count() as f64;
+        // Half a minute: some dozens of tasks, also where a dispatcher is given one a second.
+        let (seen, all) =
+            (note_demand(&mut self.shared, key, self.now, 30.0), self.demand.left(self.now, 30.0));
+        let wanted = (seen / all.max(1.0) * readers).ceil().clamp(2.0, 8.0) as usize;
+        let mut ranks = [0; 8];
+        for (h, host) in self.peers(Role::Reader) {
+            let rank = Self::home_rank(key, host);
+            let place = (0..wanted).find(|i| rank > ranks[*i] || homes[*i] == u32::MAX);
+            if let Some(place) = place {
+                homes[place..wanted].rotate_right(1);
+                ranks[place..wanted].rotate_right(1);
+                (homes[place], ranks[place]) = (h, rank);
+            }
+        }
+        homes
     }
 
-    /// The session's last reader, else the shared text's, else the text's first home.
-    fn last_reader(&self, order: &Order) -> Option<u32> {
+    /// The session's last reader; where another dispatcher had it, the one among the text's homes that a hash
+    /// of the session ranks highest, in the own zone first, stands in for it.
+    fn last_reader(&self, t: usize) -> Option<u32> {
+        let task = &self.tasks[t];
         let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last;
-        let known = last(&self.sessions, order.session).or_else(|| last(&self.shared, order.shared));
-        let home = |key| self.peers(Role::Reader).max_by_key(|(_, host)| Self::home_rank(key, host));
-        known.or_else(|| home(order.shared?).map(|(h, _)| h))
-    }
-
-    /// A shared text is at home at the two readers that a hash of both ranks highest. Dispatchers that cannot
-    /// talk thus bring one text to the same readers, and the readers' memory holds more texts. A text not
-    /// known to be kept anywhere is thought kept there; the note on the first read corrects that.
-    fn at_home(&self, order: &Order, h: u32) -> bool {
-        let (Some(key), own) = (order.shared, &self.hosts[h as usize]) else { return false };
-        let rank = Self::home_rank(key, own);
-        let above = self.peers(Role::Reader).filter(|(_, peer)| Self::home_rank(key, peer) > rank);
-        own.listed.role == Role::Reader && above.count() < 2
+        let home = |key: Key| {
+            let homes = task.homes.iter().filter(|h| **h != u32::MAX).map(|h| (*h, &self.hosts[*h as usize]));
+            homes.max_by_key(|(_, host)| (host.listed.zone == self.zone, Self::home_rank(key, host)))
+        };
+        let known = last(&self.sessions, task.order.session);
+        known
+            .or_else(|| home(task.order.session?).map(|(h, _)| h))
+            .or_else(|| last(&self.shared, task.order.shared))
     }
 
     fn home_rank(key: Key, host: &Host) -> u64 {
@@ -477,7 +506,7 @@
                 Role::Mixed => part != Part::Read,
                 Role::Unknown => false,
             };
-            let net = if part == Part::Write { f64::from(order.prompt_tokens) } else { self.net(&order, h) };
+            let net = if part == Part::Write { f64::from(order.prompt_tokens) } else { self.net(t, h) };
             let net = if part == Part::Read { net } else { net + output };
             let may = fit && self.may_send(t, h);
             counts.push(if may { self.pending(h, part, net) } else { f64::INFINITY });
@@ -492,7 +521,7 @@
         let within =
             |count: Option<&f64>, margin: f64| count.is_some_and(|c| c.is_finite() && *c <= fewest + margin);
         // Only a last reader that may be sent to counts: with none at all, both are without bound.
-        let last = self.last_reader(&self.tasks[t].order);
+        let last = self.last_reader(t);
         if let Some(last) = last.filter(|h| within(self.counts.get(*h as usize), self.long_prompt)) {
             return Some(last);
         }
@@ -570,7 +599,7 @@
 
     /// Seconds until a read begun there now would end, by how long its tokens have taken of late.
     fn read_expected(&self, t: usize, h: u32) -> f64 {
-        let net = self.net(&self.tasks[t].order, h);
+        let net = self.net(t, h);
         self.hosts[h as usize].reads.value() * (self.to_read(h) + net + STEP)
     }
 
@@ -755,10 +784,10 @@
             out.push(Action::Timer { at, token: (t as u64) << 32 | u64::from(task.turn) });
         }
         let Some((h, part, until)) = task.want.shot.take() else { return };
-        let (order, stream) = (task.order, f64::from(task.order.prompt_tokens) + task.output);
+        let stream = f64::from(task.order.prompt_tokens) + task.output;
         let further = task.shots.iter().any(|shot| shot.failed);
         let reads = part != Part::Write;
-        let net = if reads { self.net(&order, h) } else { 0.0 };
+        let net = if reads { self.net(t, h) } else { 0.0 };
         let shot = Shot {
             host: h,
             part,
@@ -766,7 +795,7 @@
             net,
             charge: if part == Part::Read { 0.0 } else { stream },
             queue: self.to_read(h) + net,
-            thought_kept: if reads { self.kept(&order, h) } else { 0 },
+            thought_kept: if reads { self.kept(t, h) } else { 0 },
             out: true,
             ..Shot::default()
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
     pub(crate) last: Option<u32>,
     /// Reader, tokens, when.
     pub(crate) by: [(u32, u32, Duration); 4],
+    /// Tasks seen with it of late.
+    pub(crate) demand: Fading,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -151,6 +153,8 @@
     pub(crate) order: Order,
     pub(crate) offering: usize,
     pub(crate) rank: f64,
+    /// Readers where its shared text is at home, the highest ranked first.
+    pub(crate) homes: [u32; 8],
     pub(crate) arrived: Duration,
     pub(crate) due: Duration,
     pub(crate) stop: Duration,
@@ -169,8 +173,7 @@
     table.get(key?.place as usize).filter(|kept| Some(kept.turn) == key.map(|key| key.turn))
 }
 
-pub(crate) fn note_kept(table: &mut Vec<Kept>, key: Option<Key>, h: u32, tokens: u32, now: Duration) {
-    let Some(key) = key else { return };
+fn place_of(table: &mut Vec<Kept>, key: Key) -> &mut Kept {
     if table.len() <= key.place as usize {
         table.resize(key.place as usize + 1, Kept::default());
     }
@@ -178,6 +181,20 @@
     if kept.turn != key.turn {
         *kept = Kept { turn: key.turn, ..Kept::default() };
     }
+    kept
+}
+
+/// Counts one more task with the text; gives the count, faded over so many seconds.
+pub(crate) fn note_demand(table: &mut Vec<Kept>, key: Key, now: Duration, seconds: f64) -> f64 {
+    let kept = place_of(table, key);
+    let count = kept.demand.left(now, seconds) + 1.0;
+    kept.demand.set(now, count);
+    count
+}
+
+pub(crate) fn note_kept(table: &mut Vec<Kept>, key: Option<Key>, h: u32, tokens: u32, now: Duration) {
+    let Some(key) = key else { return };
+    let kept = place_of(table, key);
     kept.last = Some(h);
     let same = kept.by.iter().position(|(by, tokens, _)| *by == h && *tokens > 0);
     let oldest = (0..kept.by.len()).min_by_key(|i| kept.by[*i].2).unwrap_or(0);
