--- a/src/rules.rs
+++ b/src/rules.rs
@@ -365,13 +365,13 @@
     fn find_homes(&mut self, order: &Order) -> [u32; 8] {
         let mut homes = [u32::MAX; 8];
         let Some(key) = order.shared else { return homes };
-        let readers = self.peers(Role::Reader).count() as f64;
+        let readers = self.peers(Role::Reader).chain(self.peers(Role::Mixed)).count() as f64;
         // Half a minute: some dozens of tasks, also where a dispatcher is given one a second.
         let (seen, all) =
             (note_demand(&mut self.shared, key, self.now, 30.0), self.demand.left(self.now, 30.0));
         let wanted = (seen / all.max(1.0) * readers).ceil().clamp(2.0, 8.0) as usize;
         let mut ranks = [0; 8];
-        for (h, host) in self.peers(Role::Reader) {
+        for (h, host) in self.peers(Role::Reader).chain(self.peers(Role::Mixed)) {
             let rank = Self::home_rank(key, host);
             let place = (0..wanted).find(|i| rank > ranks[*i] || homes[*i] == u32::MAX);
             if let Some(place) = place {
@@ -568,15 +568,20 @@
         }
     }
 
+    /// How far writers' counts may lie apart and count as alike.
+    fn alike(&self, t: usize) -> f64 {
+        let task = &self.tasks[t];
+        // Four: with one, three fifths of the tokens left their cell; eight let near writers fill up.
+        4.0 * (f64::from(task.order.prompt_tokens) + task.output)
+    }
+
     /// The writer with the fewest pending tokens. Within four times this task's own charge, what a few picks
     /// tip, the reader's cell is preferred, as far as its writers can take what all its readers read; then
     /// cells with writers to spare, by chance in proportion, in its zone first.
     fn pick_writer(&mut self, t: usize, part: Part) -> Option<u32> {
         let fewest = self.count(t, part);
-        let task = &self.tasks[t];
-        // Four: with one, three fifths of the tokens left their cell; eight let near writers fill up.
-        let margin = 4.0 * (f64::from(task.order.prompt_tokens) + task.output);
-        let from = task.held_by.map(|h| self.hosts[h as usize]);
+        let margin = self.alike(t);
+        let from = self.tasks[t].held_by.map(|h| self.hosts[h as usize]);
         let leaves = from.is_some_and(|from| self.chance.part() < from.leaves);
         let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
@@ -592,7 +597,11 @@
         // The least of -ln(chance) / spare falls on each host in proportion to its spare.
         let ranked = alike.map(|(h, _): (u32, _)| {
             let host = &self.hosts[h as usize];
-            (near(host), -self.chance.part().ln() / host.spare.max(1e-9), h)
+            (
+                near(host),
+                -self.chance.part().ln() / if from.is_some() { host.spare.max(1e-9) } else { 1.0 },
+                h,
+            )
         });
         ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
     }
@@ -633,28 +642,25 @@
         memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
-    /// Whether the fewest pending tokens of all that write are a mixed host's. Hosts less than a step apart are
-    /// alike, and chance decides: a dispatcher with little traffic has nothing pending anywhere, and hundreds
-    /// of them would else meet at the few mixed hosts. Holds against any herd at hosts that look empty.
-    fn mixed_in_turn(&mut self, t: usize) -> bool {
-        let fewest = self.count(t, Part::Write);
-        let alike = (0..).zip(&self.counts).filter(|(_, count)| **count <= fewest + STEP);
-        let drawn = alike.max_by_key(|_| self.chance.next()).map(|(h, _): (usize, _)| h);
-        drawn.is_some_and(|h| self.hosts[h].listed.role == Role::Mixed)
-    }
-
-    /// A reader, or a mixed host for its share of tasks whole: where it has the fewest pending tokens of all
-    /// that write, or where no reader can read in time.
+    /// A reader, or a mixed host for its share of tasks whole: those whose home it is, while it has no more
+    /// pending than any that write, as near as the writers' pick holds them alike; or where no reader can read
+    /// in time. By counts alone it won't do: where dispatchers have next to nothing pending, a mixed host
+    /// always has the fewest, hundreds of them meet there, and it reads texts that readers have kept.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
-        let share = whole.is_some() && self.mixed_in_turn(t);
+        let last = self.last_reader(t).filter(|h| self.hosts[*h as usize].listed.role == Role::Mixed);
+        let home = last.filter(|h| {
+            let fewest = self.count(t, Part::Write);
+            self.counts[*h as usize] <= fewest + self.alike(t)
+        });
         let first = self.tasks[t].shots.is_empty();
         let late = |h: u32| first && !self.read_in_time(t, h);
-        let pick = match (reader.filter(|h| !late(*h)), whole.filter(|h| !late(*h))) {
-            (Some(_), Some(h)) if share => Some((h, Part::Whole)),
-            (Some(h), _) => Some((h, Part::Read)),
-            (None, whole) => whole.map(|h| (h, Part::Whole)),
+        let (reads, home) = (reader.filter(|h| !late(*h)), home.filter(|h| !late(*h)));
+        let pick = match (home, reads) {
+            (Some(h), _) => Some((h, Part::Whole)),
+            (None, Some(h)) => Some((h, Part::Read)),
+            (None, None) => whole.filter(|h| !late(*h)).map(|h| (h, Part::Whole)),
         };
         if pick.is_none() && (reader.is_some() || whole.is_some()) {
             self.give_up(t);
