--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,6 +8,7 @@
 use crate::state::{
     Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted, find_kept, note_demand, note_kept,
 };
+use std::cmp::Ordering;
 use std::time::Duration;
 
 /// A step's own cost beside the tokens that it reads: under the smallest chunk that engines read in.
@@ -370,7 +371,7 @@
         let (seen, all) =
             (note_demand(&mut self.shared, key, self.now, 30.0), self.demand.left(self.now, 30.0));
         let wanted = (seen / all.max(1.0) * readers).ceil().clamp(2.0, 8.0) as usize;
-        let mut ranks = [0; 8];
+        let mut ranks = [0.0; 8];
         for (h, host) in self.peers(Role::Reader).chain(self.peers(Role::Mixed)) {
             let rank = Self::home_rank(key, host);
             let place = (0..wanted).find(|i| rank > ranks[*i] || homes[*i] == u32::MAX);
@@ -390,7 +391,8 @@
         let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last;
         let home = |key: Key| {
             let homes = task.homes.iter().filter(|h| **h != u32::MAX).map(|h| (*h, &self.hosts[*h as usize]));
-            homes.max_by_key(|(_, host)| (host.listed.zone == self.zone, Self::home_rank(key, host)))
+            let rank = |host: &Host| (host.listed.zone == self.zone, Self::home_rank(key, host) / host.part);
+            homes.max_by(|(_, a), (_, b)| rank(a).partial_cmp(&rank(b)).unwrap_or(Ordering::Equal))
         };
         let known = last(&self.sessions, task.order.session);
         known
@@ -398,9 +400,9 @@
             .or_else(|| last(&self.shared, task.order.shared))
     }
 
-    fn home_rank(key: Key, host: &Host) -> u64 {
-        let mut mixed = Chance(key.mark ^ host.listed.mark);
-        u64::from(mixed.next()) << 32 | u64::from(mixed.next())
+    /// Highest on each host in proportion to its part of the tasks: weighted rendezvous hashing.
+    fn home_rank(key: Key, host: &Host) -> f64 {
+        host.part / -Chance(key.mark ^ host.listed.mark).mixed().part().ln().min(-1e-12)
     }
 
     /// Running hosts of the same role.
@@ -561,10 +563,15 @@
                 _ => (over, spare),
             })
         };
+        // Of all that write each should answer as much: a mixed host what a writer does, whole.
+        let [readers, writers] =
+            [Role::Reader, Role::Writer].map(|role| self.peers(role).count().max(1) as f64);
+        let each = readers / writers;
         let zones: Vec<(f64, f64)> = self.hosts.iter().map(|host| zone(host.listed.zone)).collect();
         for ((host, (leaves, spare, _)), (over, room)) in self.hosts.iter_mut().zip(weighed).zip(zones) {
             (host.leaves, host.spare) = (leaves, spare);
             host.leaves_zone = f64::max(over - room, 0.0) / over.max(1e-9);
+            host.part = if host.listed.role == Role::Mixed { each } else { 1.0 };
         }
     }
 
@@ -585,6 +592,8 @@
         let leaves = from.is_some_and(|from| self.chance.part() < from.leaves);
         let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
+            // A mixed host answers what it reads; states go there when writers are fuller.
+            Some(_) if to.listed.role == Role::Mixed => 6,
             Some(from) if from.listed.cell == to.listed.cell => 5 * u32::from(leaves),
             Some(from) => {
                 let away = (from.listed.zone != to.listed.zone) != leaves_zone;
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,6 +14,12 @@
         ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
     }
 
+    /// One step on: a start that differs from another in few bits gives as different numbers.
+    pub(crate) fn mixed(mut self) -> Self {
+        self.next();
+        self
+    }
+
     /// Above 0, up to 1.
     pub(crate) fn part(&mut self) -> f64 {
         (f64::from(self.next()) + 1.0) / 4_294_967_296.0
@@ -105,6 +111,8 @@
     pub(crate) leaves: f64,
     pub(crate) leaves_zone: f64,
     pub(crate) spare: f64,
+    /// Its part of the tasks as a home of texts, against a reader's.
+    pub(crate) part: f64,
     /// Shots a second sent here, and the cold budget left.
     pub(crate) rate: Fading,
     pub(crate) budget: Fading,
