--- a/src/rules.rs
+++ b/src/rules.rs
@@ -539,39 +539,49 @@
     /// take, both as parts of the fleet; and so for the zone. Own counts say little of that where hundreds of
     /// dispatchers see a task a second each: racks with many readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
-        let part = |role: Role, within: &dyn Fn(&Listed) -> bool| {
-            let found = self.peers(role).filter(|(_, host)| within(&host.listed)).count() as f64;
-            (found / self.peers(role).count().max(1) as f64, found.max(1.0))
-        };
-        let weigh = |host: &Host| {
-            let cell = |other: &Listed| other.cell == host.listed.cell;
-            let ((reads, readers), (writes, writers)) =
-                (part(Role::Reader, &cell), part(Role::Writer, &cell));
-            (
-                f64::max(reads - writes, 0.0) / reads.max(1e-9),
-                f64::max(writes - reads, 0.0) / writers,
-                reads / readers,
-            )
+        type Of = fn(&Host) -> f64;
+        fn sum(hosts: &[Host], of: Of, within: &dyn Fn(&Listed) -> bool) -> f64 {
+            hosts.iter().filter(|host| host.runs() && within(&host.listed)).map(of).sum()
+        }
+        // A mixed host answers one half of what a writer does whole, and the other from states.
+        let takes: Of = |host| match host.listed.role {
+            Role::Writer => 1.0,
+            Role::Mixed => 0.5,
+            _ => 0.0,
         };
-        let weighed: Vec<(f64, f64, f64)> = self.hosts.iter().map(weigh).collect();
-        let zone = |zone: u32| {
-            let inside =
-                (self.hosts.iter().zip(&weighed)).filter(|(host, _)| host.runs() && host.listed.zone == zone);
-            inside.fold((0.0, 0.0), |(over, spare), (host, (leaves, each, read))| match host.listed.role {
-                Role::Reader => (over + leaves * read, spare),
-                Role::Writer => (over, spare + each),
-                _ => (over, spare),
-            })
+        let reads: Of = |host| if host.listed.role == Role::Reader { host.part } else { 0.0 };
+        for host in &mut self.hosts {
+            host.part = 1.0;
+        }
+        let (readers, taken) = (sum(&self.hosts, reads, &|_| true), sum(&self.hosts, takes, &|_| true));
+        for i in 0..self.hosts.len() {
+            let at = self.hosts[i].listed;
+            if at.role == Role::Mixed {
+                self.hosts[i].part = readers / f64::max(2.0 * taken, 1.0);
+            }
+        }
+        let (read, taken) = (sum(&self.hosts, reads, &|_| true).max(1e-9), taken.max(1e-9));
+        let over = |at: &[Host], within: &dyn Fn(&Listed) -> bool| {
+            let (reads, takes) = (sum(at, reads, within) / read, sum(at, takes, within) / taken);
+            (f64::max(reads - takes, 0.0), f64::max(takes - reads, 0.0), reads, takes)
         };
-        // Of all that write each should answer as much: a mixed host what a writer does, whole.
-        let [readers, writers] =
-            [Role::Reader, Role::Writer].map(|role| self.peers(role).count().max(1) as f64);
-        let each = readers / writers;
-        let zones: Vec<(f64, f64)> = self.hosts.iter().map(|host| zone(host.listed.zone)).collect();
-        for ((host, (leaves, spare, _)), (over, room)) in self.hosts.iter_mut().zip(weighed).zip(zones) {
+        let mut weighed = Vec::with_capacity(self.hosts.len());
+        for host in &self.hosts {
+            let (over, spare, reads, cell) = over(&self.hosts, &|other| other.cell == host.listed.cell);
+            weighed.push((over / reads.max(1e-9), spare * takes(host) / taken / cell.max(1e-9)));
+        }
+        for (host, (leaves, spare)) in self.hosts.iter_mut().zip(weighed) {
             (host.leaves, host.spare) = (leaves, spare);
-            host.leaves_zone = f64::max(over - room, 0.0) / over.max(1e-9);
-            host.part = if host.listed.role == Role::Mixed { each } else { 1.0 };
+        }
+        for i in 0..self.hosts.len() {
+            let zone = self.hosts[i].listed.zone;
+            let over = sum(
+                &self.hosts,
+                |host| if host.listed.role == Role::Reader { host.leaves * host.part } else { 0.0 },
+                &|at| at.zone == zone,
+            ) / read;
+            let spare = sum(&self.hosts, |host| host.spare, &|at| at.zone == zone);
+            self.hosts[i].leaves_zone = f64::max(over - spare, 0.0) / over.max(1e-9);
         }
     }
 
@@ -592,8 +602,6 @@
         let leaves = from.is_some_and(|from| self.chance.part() < from.leaves);
         let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
-            // A mixed host answers what it reads; states go there when writers are fuller.
-            Some(_) if to.listed.role == Role::Mixed => 6,
             Some(from) if from.listed.cell == to.listed.cell => 5 * u32::from(leaves),
             Some(from) => {
                 let away = (from.listed.zone != to.listed.zone) != leaves_zone;
@@ -603,14 +611,12 @@
         };
         let alike =
             (0..).zip(&self.counts).filter(|(_, count)| count.is_finite() && **count <= fewest + margin);
-        // The least of -ln(chance) / spare falls on each host in proportion to its spare.
+        // The least of -ln(chance) / weight falls on each host in proportion to its weight.
         let ranked = alike.map(|(h, _): (u32, _)| {
-            let host = &self.hosts[h as usize];
-            (
-                near(host),
-                -self.chance.part().ln() / if from.is_some() { host.spare.max(1e-9) } else { 1.0 },
-                h,
-            )
+            let (host, near) = (&self.hosts[h as usize], near(&self.hosts[h as usize]));
+            let mixed = if host.listed.role == Role::Mixed { 0.5 } else { 1.0 };
+            let weight = if near == 0 { mixed } else { host.spare.max(1e-9) };
+            (near, -self.chance.part().ln() / weight, h)
         });
         ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
     }
