--- a/src/rules.rs
+++ b/src/rules.rs
@@ -556,18 +556,9 @@
         let (readers, taken) = (sum(&self.hosts, reads, &|_| true), sum(&self.hosts, takes, &|_| true));
         for i in 0..self.hosts.len() {
             let at = self.hosts[i].listed;
-            let (reads, takes) = (
-                sum(&self.hosts, |host| f64::from(host.listed.role == Role::Reader), &|other| {
-                    other.cell == at.cell
-                }),
-                sum(&self.hosts, takes, &|other| other.cell == at.cell),
-            );
-            // More prompts are read where writers are near, as far as readers' own speed allows it.
-            self.hosts[i].part = (takes / taken.max(1e-9) / f64::max(reads / readers, 1e-9)).clamp(0.6, 1.3);
-        }
-        let whole = sum(&self.hosts, reads, &|_| true) / f64::max(2.0 * taken, 1.0);
-        for host in self.hosts.iter_mut().filter(|host| host.listed.role == Role::Mixed) {
-            host.part = whole;
+            if at.role == Role::Mixed {
+                self.hosts[i].part = readers / f64::max(2.0 * taken, 1.0);
+            }
         }
         let (read, taken) = (sum(&self.hosts, reads, &|_| true).max(1e-9), taken.max(1e-9));
         let over = |at: &[Host], within: &dyn Fn(&Listed) -> bool| {
