Weigh a host's read speed against its role's; one trial read at a time where the role is late

Cause: a dispatcher hears of a host twice a minute, so its own speed was unknown, nothing was ever too late to be read, and every read was a trial.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,6 +16,8 @@
 
 /// What a ratio keeps of its past with each addition: a dozen tasks settle it, and as many turn it.
 const KEEP: f64 = 0.8;
+/// And one over all hosts of a role: a few answers of each.
+const POOL: f64 = 0.95;
 
 impl Offering {
     /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable
@@ -49,6 +51,8 @@
     /// Scratch for one pick.
     counts: Vec<f64>,
     long_prompt: f64,
+    /// Seconds for each token to read, by role.
+    speeds: [Ratio; 4],
     orders: Fading,
     demand: Fading,
     first_time: f64,
@@ -243,6 +247,7 @@
             self.first_time += 0.15 * (waited - self.first_time);
         } else {
             host.reads.add(waited, shot.queue + STEP, KEEP);
+            self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
         }
         host.answered(now);
         let part = shot.part;
@@ -286,7 +291,9 @@
         };
         if closed.outcome == Outcome::Read {
             host.overtook = host.overtook.max(shot.sent);
-            host.reads.add((now - shot.sent).as_secs_f64(), shot.queue + STEP, KEEP);
+            let waited = (now - shot.sent).as_secs_f64();
+            host.reads.add(waited, shot.queue + STEP, KEEP);
+            self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
         } else if closed.outcome == Outcome::Full {
             // Nothing more until a place may have come free: a tenth of a second is a few answers' time.
             host.full_until = now + Duration::from_millis(100);
@@ -455,18 +462,23 @@
         host.budget.level
     }
 
-    /// How many times slower than its peers a reader has been of late; 1 within the usual spread. Sound
-    /// readers with long prompts differ by up to 2.5; what was seen is let go of in ten seconds, so that it
-    /// is tried again.
+    /// Seconds a token takes at a host, of late. Its own answers are weighed against two long prompts of all
+    /// hosts' of its role: with a task a second here and a host heard of twice a minute, the role's speed is
+    /// all there is, and it tells a jam of all from a slow host. Own answers are let go of in ten seconds, so
+    /// that a host is tried again.
+    fn speed(&self, h: u32) -> f64 {
+        let (host, weight) = (&self.hosts[h as usize], 2.0 * self.long_prompt);
+        let fades = Fading { level: 1.0, at: host.heard }.left(self.now, 10.0);
+        let (spent, done) = (host.reads.spent * fades, host.reads.done * fades);
+        (spent + weight * self.speeds[host.listed.role as usize].value()) / (done + weight)
+    }
+
+    /// How many times slower than its role a reader has been of late; 1 within the usual spread. Sound readers
+    /// with long prompts differ by up to 2.5; ten bounds what a reading taken in a jam can do.
     fn slow(&self, h: u32) -> f64 {
-        let host = &self.hosts[h as usize];
-        let others = self.peers(host.listed.role).filter(|(i, _)| *i != h);
-        let (spent, done) =
-            others.fold((0.0, 0.0), |s, (_, peer)| (s.0 + peer.reads.spent, s.1 + peer.reads.done));
-        let times = if spent > 0.0 { host.reads.value() * done / spent } else { 1.0 };
-        // Ten bounds what a reading taken in a jam can do.
-        let seen = Fading { level: times.min(10.0) - 1.0, at: host.heard };
-        if times < 2.5 { 1.0 } else { 1.0 + seen.left(self.now, 10.0) }
+        let usual = self.speeds[self.hosts[h as usize].listed.role as usize].value();
+        let times = if usual > 0.0 { (self.speed(h) / usual).min(10.0) } else { 1.0 };
+        if times < 2.5 { 1.0 } else { times }
     }
 
     /// Tokens before a new read: own pending ones or the late report of tokens to read, whichever is larger;
@@ -624,7 +636,7 @@
     /// Seconds until a read begun there now would end, by how long its tokens have taken of late.
     fn read_expected(&self, t: usize, h: u32) -> f64 {
         let net = self.net(t, h);
-        self.hosts[h as usize].reads.value() * (self.to_read(h) + net + STEP)
+        self.speed(h) * (self.to_read(h) + net + STEP)
     }
 
     /// Whether a read begun now would end in time for a first token at the agreed time. What brings less than
@@ -638,8 +650,13 @@
         // Not with less than half the agreed time left, as where clients have grown impatient: it would end
         // too late.
         let ample = by > 0.5 * self.offerings[task.offering].agreed;
-        let trial = ample && host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
-        let in_turn = task.rank >= 1.0 || host.reads.value() * self.to_read(h) < wait;
+        let quiet = ample && host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
+        // One at a time where the whole role is late: else hundreds of dispatchers' trials would keep the jam.
+        let role = host.listed.role;
+        let usual = self.speeds[role as usize].value() * (self.to_read(h) + self.net(t, h) + STEP);
+        let trial =
+            quiet && (usual + self.first_time < by || self.peers(role).all(|(_, peer)| peer.reading <= 0.0));
+        let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
         trial || (in_turn && self.read_expected(t, h) + self.first_time < by)
     }
 
