Count a far move's time as tokens when a reader is picked; first tokens near and far apart

Cause: with slow links the one time to a first token rose for all and tasks were bounced before the read that near writers would have answered in 0.03 s; readers in cells without writers were picked as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,7 +55,8 @@
     speeds: [Ratio; 4],
     orders: Fading,
     demand: Fading,
-    first_time: f64,
+    /// Seconds to a first token where the state stays in its cell, and where it leaves it.
+    first_time: [f64; 2],
     /// Seconds within which 19 of 20 shots are answered that read, write and do both.
     usual: [f64; 3],
 }
@@ -236,7 +237,7 @@
         let now = self.now;
         let Some(task) = self.tasks.get_mut(t as usize) else { return t };
         let Some(shot) = task.shots.get_mut(shot as usize).filter(|shot| shot.out) else { return t };
-        task.held_by = None;
+        let from = task.held_by.take().map_or(u32::MAX, |from| self.hosts[from as usize].listed.cell);
         shot.started = Some(now);
         let waited = (now - shot.sent).as_secs_f64();
         let host = &mut self.hosts[shot.host as usize];
@@ -244,7 +245,8 @@
         host.overtook = host.overtook.max(shot.sent);
         if shot.part == Part::Write {
             // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
-            self.first_time += 0.15 * (waited - self.first_time);
+            let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
+            *usual += 0.15 * (waited - *usual);
         } else {
             host.reads.add(waited, shot.queue + STEP, KEEP);
             self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
@@ -496,6 +498,12 @@
         host.reading.max(late(host).unwrap_or_else(average))
     }
 
+    /// Seconds from a read's end there to the first token.
+    fn first_token(&self, h: u32) -> f64 {
+        let ([near, far], leaves) = (self.first_time, self.hosts[h as usize].leaves);
+        near + leaves * (far - near)
+    }
+
     /// Pending tokens of a host for a task that would add `net`, with suspicion and slowness charged in
     /// tokens.
     fn pending(&self, h: u32, part: Part, net: f64) -> f64 {
@@ -504,7 +512,16 @@
         // Fast failures empty a host. Eight long prompts for a certain suspicion stand in for the work that
         // it lost, and grow with what is out there on trial.
         let doubt = host.doubt(self.now) * 8.0 * self.long_prompt * f64::from(1 + host.shots_out);
-        (streams + self.to_read(h) + net) * self.slow(h) + doubt
+        // Where states have to leave the cell and links are slow, the time lost counts as the tokens that are
+        // read in it.
+        let [near, far] = self.first_time;
+        let speed = self.speeds[Role::Reader as usize].value();
+        let moves = if part == Part::Read && speed > 0.0 {
+            host.leaves * f64::max(far - near, 0.0) / speed
+        } else {
+            0.0
+        };
+        (streams + self.to_read(h) + net) * self.slow(h) + doubt + moves
     }
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
@@ -654,10 +671,10 @@
         // One at a time where the whole role is late: else hundreds of dispatchers' trials would keep the jam.
         let role = host.listed.role;
         let usual = self.speeds[role as usize].value() * (self.to_read(h) + self.net(t, h) + STEP);
-        let trial =
-            quiet && (usual + self.first_time < by || self.peers(role).all(|(_, peer)| peer.reading <= 0.0));
+        let trial = quiet
+            && (usual + self.first_token(h) < by || self.peers(role).all(|(_, peer)| peer.reading <= 0.0));
         let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
-        trial || (in_turn && self.read_expected(t, h) + self.first_time < by)
+        trial || (in_turn && self.read_expected(t, h) + self.first_token(h) < by)
     }
 
     /// Overload: what the writers have no memory for is bounced before it is read, beyond a customer's share
@@ -716,7 +733,8 @@
         let told = &self.offerings[task.offering];
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
         let barred = !ran.all(|shot| told.again(shot, &self.hosts, None, now));
-        let spent = task.shots.len() >= most || now + Duration::from_secs_f64(0.5 * self.first_time) >= stop;
+        let spent =
+            task.shots.len() >= most || now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
         if spent || barred || (first && !self.room(t)) {
             return self.give_up(t);
         }
@@ -726,7 +744,7 @@
         };
         let expected = match pick {
             Some((h, Part::Read | Part::Whole)) => self.read_expected(t, h),
-            _ => self.first_time,
+            _ => self.first_time[0].max(self.first_time[1]),
         };
         let cancel = self.terms.flag("allowed.cancel");
         let task = &mut self.tasks[t];
