--- a/src/rules.rs
+++ b/src/rules.rs
@@ -628,7 +628,12 @@
         let fewest = self.count(t, part);
         let margin = self.alike(t);
         let from = self.tasks[t].held_by.map(|h| self.hosts[h as usize]);
-        let leaves = from.is_some_and(|from| self.chance.part() < from.leaves);
+        // As far as own counts say nothing: with some streams of its own at each writer a dispatcher sees who is
+        // full, with none it has only the list.
+        let writers =
+            self.peers(Role::Writer).fold((0.0, 0.0), |s, (_, host)| (s.0 + host.writing, s.1 + margin));
+        let unseen = writers.1 / (writers.0 + writers.1).max(1e-9);
+        let leaves = from.is_some_and(|from| self.chance.part() < from.leaves * unseen);
         let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
             Some(from) if from.listed.cell == to.listed.cell => 5 * u32::from(leaves),
