Spread the start of cold budgets over the dispatchers; an untaken shot lapses

Cause: a dispatcher of 80 earned a tenth of a shot in a cold host's whole warm-up, so a restarted rack got nothing for 13 s and then everything; and shots kept by hundreds could have come at once.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -133,6 +133,7 @@
             self.hosts.iter_mut().for_each(|host| host.listed.standing = Standing::Gone);
         }
         let warm_up = self.terms.span("rules.warm_up_us").unwrap_or_default();
+        let own = self.terms.number("me").unwrap_or(0.0).max(0.0) / self.dispatchers;
         for line in listed {
             let at = line.host as usize;
             if self.hosts.len() <= at {
@@ -152,7 +153,7 @@
                     credit: 2.0,
                     trust: Ratio { spent: if warm_at > now { 0.0 } else { 2000.0 }, done: 2000.0 },
                     heard: now,
-                    budget: Fading { level: 0.0, at: now },
+                    budget: Fading { level: (own + Chance(line.mark).mixed().part()).fract(), at: now },
                     ..Host::default()
                 };
             }
@@ -437,9 +438,11 @@
     }
 
     /// Shots that a cold host may be sent now. The budget fills at the part of a warm peer's own traffic that
-    /// the host can do for certain, never above one shot, and starts empty: no burst, and what this
-    /// dispatcher forgot at its own restart cannot be spent twice. All dispatchers' parts add up to a warm
-    /// peer's traffic times that part, well inside the multiple at which the host falls.
+    /// the host can do for certain, and a shot not taken in half the time in which a host falls lapses: no
+    /// burst, and what this dispatcher forgot at its own restart cannot be spent twice. All dispatchers' parts
+    /// add up to a warm peer's traffic times that part, well inside the multiple at which the host falls. Each
+    /// starts at its own place between nothing and a shot: where there are hundreds none would come to a whole
+    /// shot before the host is warm, and all would come at once.
     fn cold_budget(&mut self, h: u32) -> f64 {
         let now = self.now;
         let host = &self.hosts[h as usize];
@@ -460,8 +463,11 @@
         let part = (cold_from + (1.0 - cold_from) * age.max(0.0)).min(stands);
         let host = &mut self.hosts[h as usize];
         let filled = host.budget.level + (now - host.budget.at).as_secs_f64() * each * part;
-        host.budget.set(now, filled.min(1.0));
-        host.budget.level
+        let lapses = each * part * self.terms.number("rules.fall_us").unwrap_or(0.0) / 2e6;
+        let held = filled.fract();
+        let level = if filled >= 1.0 && held < lapses { 1.0 + held } else { held };
+        host.budget.set(now, level);
+        level
     }
 
     /// Seconds a token takes at a host, of late. Its own answers are weighed against two long prompts of all
