--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,6 +53,8 @@
     long_prompt: f64,
     /// Seconds for each token to read, by role.
     speeds: [Ratio; 4],
+    /// When a prompt was last sent to be read.
+    tried: Duration,
     orders: Fading,
     demand: Fading,
     /// Seconds to a first token where the state stays in its cell, and where it leaves it.
@@ -273,7 +275,7 @@
             Outcome::NoState | Outcome::Delivered => task.held_by = None,
             _ => {}
         }
-        let (shot, order) = (*shot, task.order);
+        let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
         if closed.outcome == Outcome::Read {
             self.answered_in(shot.part, (now - shot.sent).as_secs_f64());
         }
@@ -294,13 +296,21 @@
         };
         if closed.outcome == Outcome::Read {
             host.overtook = host.overtook.max(shot.sent);
-            let waited = (now - shot.sent).as_secs_f64();
-            host.reads.add(waited, shot.queue + STEP, KEEP);
-            self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
         } else if closed.outcome == Outcome::Full {
             // Nothing more until a place may have come free: a tenth of a second is a few answers' time.
             host.full_until = now + Duration::from_millis(100);
         }
+        // What was not read in time took at least so long, and a full reader has an agreed time's reads before
+        // it: else only what came through a jam would count, and the jam would look like none.
+        let waited = match closed.outcome {
+            Outcome::Read | Outcome::TimedOut | Outcome::Cancelled => Some((now - shot.sent).as_secs_f64()),
+            Outcome::Full => Some(told),
+            _ => None,
+        };
+        if let Some(waited) = waited.filter(|_| shot.part != Part::Write && shot.started.is_none()) {
+            host.reads.add(waited, shot.queue + STEP, KEEP);
+            self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
+        }
         if blame > 0.0 {
             let doubt = (host.doubt(now) + blame).min(1.0);
             host.suspicion.set(now, doubt);
@@ -677,9 +687,10 @@
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
         // Not with less than half the agreed time left, as where clients have grown impatient: it would end
         // too late.
-        let ample = by > 0.5 * self.offerings[task.offering].agreed;
+        let told = self.offerings[task.offering].agreed;
+        let ample = by > 0.5 * told;
         let quiet = ample && host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
-        // One at a time where the whole role is late: else hundreds of dispatchers' trials would keep the jam.
+        // One an agreed time where the whole role is late: else hundreds of dispatchers' trials keep the jam.
         let role = host.listed.role;
         let usual = self.speeds[role as usize].value() * (self.to_read(h) + self.net(t, h) + STEP);
         let trial = quiet
@@ -874,6 +885,7 @@
         host.budget.level -= 1.0;
         // The step after a read is no further shot; one after a failure is, and spends credit.
         host.credit -= if further { 1.0 } else { 0.0 };
+        self.tried = if reads { now } else { self.tried };
         let rate = host.rate.left(now, 4.0) + 0.25;
         host.rate.set(now, rate);
         out.push(Action::Send { task: number, host: h, until });
