Hold later shots to the time that a read needs, too

A task turned away by a full reader went on to five more, four milliseconds apart. Kept: a special case less.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -725,8 +725,7 @@
             let fewest = self.count(t, Part::Write);
             self.counts[*h as usize] <= fewest + self.alike(t)
         });
-        let first = self.tasks[t].shots.is_empty();
-        let late = |h: u32| first && !self.read_in_time(t, h);
+        let late = |h: u32| !self.read_in_time(t, h);
         let (reads, home) = (reader.filter(|h| !late(*h)), home.filter(|h| !late(*h)));
         let pick = match (home, reads) {
             (Some(h), _) => Some((h, Part::Whole)),
