--- a/src/rules.rs
+++ b/src/rules.rs
@@ -276,6 +276,7 @@
             _ => {}
         }
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
+        let patient = now >= shot.sent + task.patience;
         if closed.outcome == Outcome::Read {
             self.answered_in(shot.part, (now - shot.sent).as_secs_f64());
         }
@@ -289,7 +290,8 @@
         // One lost connection or two errors take a host past half of certain; a silence takes it there.
         let blame = match closed.outcome {
             Outcome::Error => 0.35,
-            Outcome::TimedOut => 0.5,
+            // A client that leaves little time says nothing of the host.
+            Outcome::TimedOut if patient => 0.5,
             Outcome::Cancelled if shot.cancelled => 0.5,
             Outcome::Broken | Outcome::NoConnection => 0.6,
             _ => 0.0,
