--- a/src/rules.rs
+++ b/src/rules.rs
@@ -708,12 +708,10 @@
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
         // A host lost without notice counts no longer once it is suspected.
         let memory = |host: &Host| host.listed.memory_tokens.unwrap_or(0.0) * (1.0 - host.doubt(self.now));
-        let (own, told, memory) = writers.fold((0.0, 0.0, 0.0), |sum, (_, host)| {
-            (sum.0 + host.writing, sum.1 + host.memory_held * memory(host), sum.2 + memory(host))
+        let (held, memory) = writers.fold((0.0, 0.0), |sum, (_, host)| {
+            let held = (host.writing * self.dispatchers).max(host.memory_held * memory(host));
+            (sum.0 + held, sum.1 + memory(host))
         });
-        // Less one spread of so many streams: a few of its own, times hundreds, prove no lack of room.
-        let stream = f64::from(self.tasks[t].order.prompt_tokens) + self.tasks[t].output;
-        let held = f64::max((own - (own * stream).sqrt()) * self.dispatchers, told);
         memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
