--- a/src/rules.rs
+++ b/src/rules.rs
@@ -712,7 +712,7 @@
             let held = (host.writing * self.dispatchers).max(host.memory_held * memory(host));
             (sum.0 + held, sum.1 + memory(host))
         });
-        memory == 0.0 || held <= 9.0 * memory * (1.0 + 0.25 * self.tasks[t].rank)
+        memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
     /// A reader, or a mixed host for its share of tasks whole: those whose home it is, while it has no more
