--- a/src/rules.rs
+++ b/src/rules.rs
@@ -248,10 +248,8 @@
         host.overtook = host.overtook.max(shot.sent);
         if shot.part == Part::Write {
             // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
-            // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better. One answer
-            // counts for no more than four times the usual: a few slow writers don't make every task late.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
-            *usual += 0.15 * (waited.min(4.0 * *usual + 0.1) - *usual);
+            *usual += 0.15 * (waited - *usual);
         } else {
             host.reads.add(waited, shot.queue + STEP, KEEP);
             self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
