--- a/src/rules.rs
+++ b/src/rules.rs
@@ -249,6 +249,7 @@
         if shot.part == Part::Write {
             // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
+            host.firsts.add(waited, usual.max(0.1), KEEP);
             *usual += 0.15 * (waited - *usual);
         } else {
             host.reads.add(waited, shot.queue + STEP, KEEP);
@@ -495,10 +496,14 @@
 
     /// How many times slower than its role a reader has been of late; 1 within the usual spread. Sound readers
     /// with long prompts differ by up to 2.5; ten bounds what a reading taken in a jam can do.
-    fn slow(&self, h: u32) -> f64 {
-        let usual = self.speeds[self.hosts[h as usize].listed.role as usize].value();
-        let times = if usual > 0.0 { (self.speed(h) / usual).min(10.0) } else { 1.0 };
-        if times < 2.5 { 1.0 } else { times }
+    fn slow(&self, h: u32, part: Part) -> f64 {
+        let host = &self.hosts[h as usize];
+        let usual = self.speeds[host.listed.role as usize].value();
+        let reads = if usual > 0.0 { self.speed(h) / usual } else { 1.0 };
+        let fades = Fading { level: 1.0, at: host.heard }.left(self.now, 10.0);
+        let firsts = (host.firsts.spent * fades + 0.2) / (host.firsts.done * fades + 0.2);
+        let times = if part == Part::Write { firsts } else { reads };
+        if times < 2.5 { 1.0 } else { times.min(10.0) }
     }
 
     /// Tokens before a new read: own pending ones or the late report of tokens to read, whichever is larger;
@@ -539,7 +544,7 @@
         } else {
             0.0
         };
-        (streams + self.to_read(h) + net) * self.slow(h) + doubt + moves
+        (streams + self.to_read(h) + net) * self.slow(h, part) + doubt + moves
     }
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) credit: f64,
     /// Seconds for each token to read; kept tokens found over those thought so.
     pub(crate) reads: Ratio,
+    /// Seconds to first tokens over those that were usual.
+    pub(crate) firsts: Ratio,
     pub(crate) trust: Ratio,
     /// Prompt tokens that were read anew over all prompt tokens.
     pub(crate) anew: Ratio,
