Ask an agreed time's waits as evidence of a slow writer

Meets hosts that grow slower and slower, whatever the cause; may hurt where one writer's far links alone are slow.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -501,7 +501,9 @@
         let usual = self.speeds[host.listed.role as usize].value();
         let reads = if usual > 0.0 { self.speed(h) / usual } else { 1.0 };
         let fades = Fading { level: 1.0, at: host.heard }.left(self.now, 10.0);
-        let firsts = (host.firsts.spent * fades + 0.2) / (host.firsts.done * fades + 0.2);
+        // An agreed time's waits are needed to tell a slow writer from one that was full for a moment.
+        let told = self.offerings.iter().map(|offering| offering.agreed).fold(0.01, f64::max);
+        let firsts = (host.firsts.spent * fades + told) / (host.firsts.done * fades + told);
         let times = if part == Part::Write { firsts } else { reads };
         if times < 2.5 { 1.0 } else { times.min(10.0) }
     }
