--- a/src/rules.rs
+++ b/src/rules.rs
@@ -393,7 +393,7 @@
         // Half a minute: some dozens of tasks, also where a dispatcher is given one a second.
         let (seen, all) =
             (note_demand(&mut self.shared, key, self.now, 30.0), self.demand.left(self.now, 30.0));
-        let wanted = (2.0 * seen / all.max(1.0) * readers).ceil().clamp(2.0, 8.0) as usize;
+        let wanted = (seen / all.max(1.0) * readers).ceil().clamp(2.0, 8.0) as usize;
         let mut ranks = [0.0; 8];
         for (h, host) in self.peers(Role::Reader).chain(self.peers(Role::Mixed)) {
             let rank = Self::home_rank(key, host);
