--- a/src/rules.rs
+++ b/src/rules.rs
@@ -609,16 +609,10 @@
         }
         let (readers, taken) = (sum(&self.hosts, reads, &|_| true), sum(&self.hosts, takes, &|_| true));
         for i in 0..self.hosts.len() {
-            let cell = self.hosts[i].listed.cell;
-            let [reads, takes] =
-                [(|host| f64::from(u8::from(host.listed.role == Role::Reader))) as Of, takes]
-                    .map(|of| sum(&self.hosts, of, &|other| other.cell == cell));
-            // More prompts are read where writers are near, as far as readers' own speed allows it.
-            self.hosts[i].part = (takes / taken.max(1e-9) / f64::max(reads / readers, 1e-9)).clamp(0.7, 1.2);
-        }
-        let whole = sum(&self.hosts, reads, &|_| true) / f64::max(2.0 * taken, 1.0);
-        for host in self.hosts.iter_mut().filter(|host| host.listed.role == Role::Mixed) {
-            host.part = whole;
+            let at = self.hosts[i].listed;
+            if at.role == Role::Mixed {
+                self.hosts[i].part = readers / f64::max(2.0 * taken, 1.0);
+            }
         }
         let (read, taken) = (sum(&self.hosts, reads, &|_| true).max(1e-9), taken.max(1e-9));
         let over = |at: &[Host], within: &dyn Fn(&Listed) -> bool| {
