--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,6 +55,8 @@
     speeds: [Ratio; 4],
     /// When a prompt was last sent to be read.
     tried: Duration,
+    /// Tokens that a reader was asked to read of late, on average.
+    asked: f64,
     orders: Fading,
     demand: Fading,
     /// Seconds to a first token where the state stays in its cell, and where it leaves it.
@@ -546,13 +548,20 @@
         } else {
             0.0
         };
-        (streams + self.to_read(h) + net) * self.slow(h, part) + doubt + moves
+        // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: a
+        // reader that is asked for more than its part has a long prompt more before it for each part.
+        let asked = host.asked.left(self.now, 60.0) / self.asked.max(1.0) - 1.0;
+        let asked = if part == Part::Read { asked.max(0.0) * self.long_prompt } else { 0.0 };
+        (streams + self.to_read(h) + net) * self.slow(h, part) + doubt + moves + asked
     }
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
     fn count(&mut self, t: usize, part: Part) -> f64 {
         let (order, output) = (self.tasks[t].order, self.tasks[t].output);
         let writers_read = self.terms.flag("service.writers_read");
+        let asked = self.peers(Role::Reader).map(|(_, host)| host.asked.left(self.now, 60.0));
+        let (sum, readers) = asked.fold((0.0, 0.0), |(sum, count), asked| (sum + asked, count + 1.0));
+        self.asked = sum / f64::max(readers, 1.0);
         let mut counts = std::mem::take(&mut self.counts);
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
@@ -894,6 +903,8 @@
         // The step after a read is no further shot; one after a failure is, and spends credit.
         host.credit -= if further { 1.0 } else { 0.0 };
         self.tried = if reads { now } else { self.tried };
+        let asked = host.asked.left(now, 60.0) + shot.net;
+        host.asked.set(now, asked);
         let rate = host.rate.left(now, 4.0) + 0.25;
         host.rate.set(now, rate);
         out.push(Action::Send { task: number, host: h, until });
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) credit: f64,
     /// Seconds for each token to read; kept tokens found over those thought so.
     pub(crate) reads: Ratio,
+    /// Tokens sent here to be read of late.
+    pub(crate) asked: Fading,
     /// Seconds to first tokens over those that were usual.
     pub(crate) firsts: Ratio,
     pub(crate) trust: Ratio,
