--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,7 @@
     tried: Duration,
     /// Tokens that a reader was asked to read of late, on average.
     asked: f64,
+    told: bool,
     orders: Fading,
     demand: Fading,
     /// Seconds to a first token where the state stays in its cell, and where it leaves it.
@@ -551,7 +552,9 @@
         // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: a
         // reader that is asked for more than its part has a long prompt more before it for each part.
         let asked = host.asked.left(self.now, 60.0) / self.asked.max(1.0) - 1.0;
-        let asked = if part == Part::Read { asked.max(0.0) * self.long_prompt } else { 0.0 };
+        let thin = 4.0 * self.long_prompt / (4.0 * self.long_prompt + self.asked);
+        let asked =
+            if part == Part::Read && !self.told { asked.max(0.0) * self.long_prompt * thin } else { 0.0 };
         (streams + self.to_read(h) + net) * self.slow(h, part) + doubt + moves + asked
     }
 
@@ -562,6 +565,8 @@
         let asked = self.peers(Role::Reader).map(|(_, host)| host.asked.left(self.now, 60.0));
         let (sum, readers) = asked.fold((0.0, 0.0), |(sum, count), asked| (sum + asked, count + 1.0));
         self.asked = sum / f64::max(readers, 1.0);
+        let told = self.peers(Role::Reader).any(|(_, host)| host.to_read.is_some());
+        self.told = told;
         let mut counts = std::mem::take(&mut self.counts);
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
