--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,8 @@
 
 use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Terms};
 use crate::state::{
-    Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted, find_kept, note_demand, note_kept,
+    Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted, find_kept, highest, note_demand,
+    note_kept,
 };
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -53,11 +54,8 @@
     long_prompt: f64,
     /// Seconds for each token to read, by role.
     speeds: [Ratio; 4],
-    /// When a prompt was last sent to be read.
-    tried: Duration,
-    /// Tokens that a reader was asked to read of late, on average.
+    /// Tokens that a reader was asked to read of late, on average; without bound where readers report.
     asked: f64,
-    told: bool,
     orders: Fading,
     demand: Fading,
     /// Seconds to a first token where the state stays in its cell, and where it leaves it.
@@ -82,8 +80,9 @@
             zone: terms.number("zone_index").map_or(u32::MAX, |zone| zone as u32),
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
-            // Until answers have been seen: nothing is held for slow before a quarter of the agreed time.
-            usual: [0.0; 3],
+            // As if two prompts had been read at ten thousand tokens a second, the order of magnitude of
+            // engines: one full host at the start does not make all seem late.
+            speeds: [Ratio { spent: 0.4, done: 4000.0 }; 4],
             terms: terms.clone(),
             ..Rules::default()
         }
@@ -252,10 +251,10 @@
         if shot.part == Part::Write {
             // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
-            host.firsts.add(waited, usual.max(0.1), KEEP);
+            host.firsts.add(waited, usual.max(0.1), KEEP * host.fades(now));
             *usual += 0.15 * (waited - *usual);
         } else {
-            host.reads.add(waited, shot.queue + STEP, KEEP);
+            host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
             self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
         }
         host.answered(now);
@@ -314,7 +313,7 @@
             _ => None,
         };
         if let Some(waited) = waited.filter(|_| shot.part != Part::Write && shot.started.is_none()) {
-            host.reads.add(waited, shot.queue + STEP, KEEP);
+            host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
             self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
         }
         if blame > 0.0 {
@@ -390,40 +389,31 @@
     /// thus bring one text to the same readers, and the readers' memory holds more texts. Two, or as many as
     /// the text's part of the tasks seen here would keep busy, so that a text in demand does not choke them.
     fn find_homes(&mut self, order: &Order) -> [u32; 8] {
-        let mut homes = [u32::MAX; 8];
-        let Some(key) = order.shared else { return homes };
-        let readers = self.peers(Role::Reader).chain(self.peers(Role::Mixed)).count() as f64;
-        // Half a minute: some dozens of tasks, also where a dispatcher is given one a second.
-        let (seen, all) =
-            (note_demand(&mut self.shared, key, self.now, 30.0), self.demand.left(self.now, 30.0));
-        let wanted = (seen / all.max(1.0) * readers).ceil().clamp(2.0, 8.0) as usize;
-        let mut ranks = [0.0; 8];
-        for (h, host) in self.peers(Role::Reader).chain(self.peers(Role::Mixed)) {
-            let rank = Self::home_rank(key, host);
-            let place = (0..wanted).find(|i| rank > ranks[*i] || homes[*i] == u32::MAX);
-            if let Some(place) = place {
-                homes[place..wanted].rotate_right(1);
-                ranks[place..wanted].rotate_right(1);
-                (homes[place], ranks[place]) = (h, rank);
-            }
-        }
-        homes
+        let Some(key) = order.shared else { return [u32::MAX; 8] };
+        // Half a minute: some dozens of tasks, also where a dispatcher is given one a second. Ten more are
+        // taken as seen, so that a first text does not seem to be all there is.
+        let all = self.demand.left(self.now, 30.0) + 10.0;
+        let seen = note_demand(&mut self.shared, key, self.now, 30.0) / all;
+        let readers = || self.peers(Role::Reader).chain(self.peers(Role::Mixed));
+        let wanted = (seen * readers().count() as f64).ceil().clamp(2.0, 8.0) as usize;
+        highest(wanted, readers().map(|(h, host)| (Self::home_rank(key, host), h)))
     }
 
     /// The session's last reader; where another dispatcher had it, the one among the text's homes that a hash
     /// of the session ranks highest, in the own zone first, stands in for it.
     fn last_reader(&self, t: usize) -> Option<u32> {
-        let task = &self.tasks[t];
+        let (task, order) = (&self.tasks[t], &self.tasks[t].order);
         let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last;
         let home = |key: Key| {
-            let homes = task.homes.iter().filter(|h| **h != u32::MAX).map(|h| (*h, &self.hosts[*h as usize]));
-            let rank = |host: &Host| (host.listed.zone == self.zone, Self::home_rank(key, host) / host.part);
-            homes.max_by(|(_, a), (_, b)| rank(a).partial_cmp(&rank(b)).unwrap_or(Ordering::Equal))
+            let rank = |h: u32| {
+                let host = &self.hosts[h as usize];
+                (host.listed.zone == self.zone, Self::home_rank(key, host) / host.part)
+            };
+            let homes = task.homes.iter().copied().filter(|h| *h != u32::MAX);
+            homes.max_by(|a, b| rank(*a).partial_cmp(&rank(*b)).unwrap_or(Ordering::Equal))
         };
-        let known = last(&self.sessions, task.order.session);
-        known
-            .or_else(|| home(task.order.session?).map(|(h, _)| h))
-            .or_else(|| last(&self.shared, task.order.shared))
+        let known = last(&self.sessions, order.session).or_else(|| home(order.session?));
+        known.or_else(|| last(&self.shared, order.shared))
     }
 
     /// Highest on each host in proportion to its part of the tasks: weighted rendezvous hashing.
@@ -488,27 +478,25 @@
 
     /// Seconds a token takes at a host, of late. Its own answers are weighed against two long prompts of all
     /// hosts' of its role: with a task a second here and a host heard of twice a minute, the role's speed is
-    /// all there is, and it tells a jam of all from a slow host. Own answers are let go of in ten seconds, so
-    /// that a host is tried again.
+    /// all there is, and it tells a jam of all from a slow host.
     fn speed(&self, h: u32) -> f64 {
         let (host, weight) = (&self.hosts[h as usize], 2.0 * self.long_prompt);
-        let fades = Fading { level: 1.0, at: host.heard }.left(self.now, 10.0);
+        let fades = host.fades(self.now);
         let (spent, done) = (host.reads.spent * fades, host.reads.done * fades);
         (spent + weight * self.speeds[host.listed.role as usize].value()) / (done + weight)
     }
 
     /// How many times slower than its role a reader has been of late; 1 within the usual spread. Sound readers
-    /// with long prompts differ by up to 2.5; ten bounds what a reading taken in a jam can do.
+    /// with long prompts differ by up to 2, so weighed; ten bounds what a reading taken in a jam can do.
     fn slow(&self, h: u32, part: Part) -> f64 {
         let host = &self.hosts[h as usize];
-        let usual = self.speeds[host.listed.role as usize].value();
-        let reads = if usual > 0.0 { self.speed(h) / usual } else { 1.0 };
-        let fades = Fading { level: 1.0, at: host.heard }.left(self.now, 10.0);
+        let reads = self.speed(h) / self.speeds[host.listed.role as usize].value();
+        let fades = host.fades(self.now);
         // An agreed time's waits are needed to tell a slow writer from one that was full for a moment.
         let told = self.offerings.iter().map(|offering| offering.agreed).fold(0.01, f64::max);
         let firsts = (host.firsts.spent * fades + told) / (host.firsts.done * fades + told);
         let times = if part == Part::Write { firsts } else { reads };
-        if times < 2.5 { 1.0 } else { times.min(10.0) }
+        if times < 2.0 { 1.0 } else { times.min(10.0) }
     }
 
     /// Tokens before a new read: own pending ones or the late report of tokens to read, whichever is larger;
@@ -540,33 +528,30 @@
         // Fast failures empty a host. Eight long prompts for a certain suspicion stand in for the work that
         // it lost, and grow with what is out there on trial.
         let doubt = host.doubt(self.now) * 8.0 * self.long_prompt * f64::from(1 + host.shots_out);
-        // Where states have to leave the cell and links are slow, the time lost counts as the tokens that are
-        // read in it.
-        let [near, far] = self.first_time;
-        let speed = self.speeds[Role::Reader as usize].value();
-        let moves = if part == Part::Read && speed > 0.0 {
-            host.leaves * f64::max(far - near, 0.0) / speed
-        } else {
-            0.0
-        };
+        let load = (streams + self.to_read(h) + net) * self.slow(h, part) + doubt;
+        if part != Part::Read {
+            return load;
+        }
+        // Where states have to leave the cell and links are slow, the time lost counts as tokens.
+        let ([near, far], speed) = (self.first_time, self.speeds[Role::Reader as usize].value());
+        let moves = host.leaves * f64::max(far - near, 0.0) / speed;
         // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: a
-        // reader that is asked for more than its part has a long prompt more before it for each part.
-        let asked = host.asked.left(self.now, 60.0) / self.asked.max(1.0) - 1.0;
+        // reader that is asked for more than its part has a long prompt more before it for each part. Only as
+        // far as own counts are thin, and where no reader reports its tokens.
         let thin = 4.0 * self.long_prompt / (4.0 * self.long_prompt + self.asked);
-        let asked =
-            if part == Part::Read && !self.told { asked.max(0.0) * self.long_prompt * thin } else { 0.0 };
-        (streams + self.to_read(h) + net) * self.slow(h, part) + doubt + moves + asked
+        let asked = f64::max(host.asked.left(self.now, 60.0) / self.asked - 1.0, 0.0);
+        load + moves + asked * self.long_prompt * thin
     }
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
     fn count(&mut self, t: usize, part: Part) -> f64 {
         let (order, output) = (self.tasks[t].order, self.tasks[t].output);
         let writers_read = self.terms.flag("service.writers_read");
-        let asked = self.peers(Role::Reader).map(|(_, host)| host.asked.left(self.now, 60.0));
-        let (sum, readers) = asked.fold((0.0, 0.0), |(sum, count), asked| (sum + asked, count + 1.0));
-        self.asked = sum / f64::max(readers, 1.0);
-        let told = self.peers(Role::Reader).any(|(_, host)| host.to_read.is_some());
-        self.told = told;
+        let (asked, readers) = self.peers(Role::Reader).fold((0.0, 0.0), |(sum, count), (_, host)| {
+            let told = if host.to_read.is_some() { f64::INFINITY } else { 0.0 };
+            (sum + host.asked.left(self.now, 60.0) + told, count + 1.0)
+        });
+        self.asked = f64::max(asked / f64::max(readers, 1.0), 1.0);
         let mut counts = std::mem::take(&mut self.counts);
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
@@ -607,49 +592,32 @@
     /// take, both as parts of the fleet; and so for the zone. Own counts say little of that where hundreds of
     /// dispatchers see a task a second each: racks with many readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
-        type Of = fn(&Host) -> f64;
-        fn sum(hosts: &[Host], of: Of, within: &dyn Fn(&Listed) -> bool) -> f64 {
-            hosts.iter().filter(|host| host.runs() && within(&host.listed)).map(of).sum()
-        }
         // A mixed host answers one half of what a writer does whole, and the other from states.
-        let takes: Of = |host| match host.listed.role {
-            Role::Writer => 1.0,
-            Role::Mixed => 0.5,
-            _ => 0.0,
+        let takes = |role| [0.0, 1.0, 0.5, 0.0][role as usize];
+        let reads = |role| [1.0, 0.0, 0.0, 0.0][role as usize];
+        let sum = |of: fn(Role) -> f64, within: &dyn Fn(&Listed) -> bool| -> f64 {
+            let running = self.hosts.iter().filter(|host| host.runs() && within(&host.listed));
+            running.map(|host| of(host.listed.role)).sum::<f64>().max(1e-9)
         };
-        let reads: Of = |host| if host.listed.role == Role::Reader { host.part } else { 0.0 };
-        for host in &mut self.hosts {
-            host.part = 1.0;
-        }
-        let (readers, taken) = (sum(&self.hosts, reads, &|_| true), sum(&self.hosts, takes, &|_| true));
-        for i in 0..self.hosts.len() {
-            let at = self.hosts[i].listed;
-            if at.role == Role::Mixed {
-                self.hosts[i].part = readers / f64::max(2.0 * taken, 1.0);
-            }
-        }
-        let (read, taken) = (sum(&self.hosts, reads, &|_| true).max(1e-9), taken.max(1e-9));
-        let over = |at: &[Host], within: &dyn Fn(&Listed) -> bool| {
-            let (reads, takes) = (sum(at, reads, within) / read, sum(at, takes, within) / taken);
-            (f64::max(reads - takes, 0.0), f64::max(takes - reads, 0.0), reads, takes)
+        let (read, taken) = (sum(reads, &|_| true), sum(takes, &|_| true));
+        let weigh = |host: &Host| {
+            let cell = |other: &Listed| other.cell == host.listed.cell;
+            let (reads, all) = (sum(reads, &cell) / read, sum(takes, &cell) / taken);
+            let spare = f64::max(all - reads, 0.0) * takes(host.listed.role) / taken / all;
+            (f64::max(reads - all, 0.0) / reads, spare)
         };
-        let mut weighed = Vec::with_capacity(self.hosts.len());
-        for host in &self.hosts {
-            let (over, spare, reads, cell) = over(&self.hosts, &|other| other.cell == host.listed.cell);
-            weighed.push((over / reads.max(1e-9), spare * takes(host) / taken / cell.max(1e-9)));
-        }
-        for (host, (leaves, spare)) in self.hosts.iter_mut().zip(weighed) {
-            (host.leaves, host.spare) = (leaves, spare);
+        let weighed: Vec<(f64, f64)> = self.hosts.iter().map(weigh).collect();
+        for (host, weighed) in self.hosts.iter_mut().zip(weighed) {
+            (host.leaves, host.spare) = weighed;
+            host.part = if host.listed.role == Role::Mixed { read / (2.0 * taken) } else { 1.0 };
         }
         for i in 0..self.hosts.len() {
             let zone = self.hosts[i].listed.zone;
-            let over = sum(
-                &self.hosts,
-                |host| if host.listed.role == Role::Reader { host.leaves * host.part } else { 0.0 },
-                &|at| at.zone == zone,
-            ) / read;
-            let spare = sum(&self.hosts, |host| host.spare, &|at| at.zone == zone);
-            self.hosts[i].leaves_zone = f64::max(over - spare, 0.0) / over.max(1e-9);
+            let inside = self.hosts.iter().filter(|host| host.runs() && host.listed.zone == zone);
+            let (over, spare) = inside.fold((1e-9, 0.0), |(over, spare), host| {
+                (over + reads(host.listed.role) * host.leaves / read, spare + host.spare)
+            });
+            self.hosts[i].leaves_zone = f64::max(over - spare, 0.0) / over;
         }
     }
 
@@ -907,7 +875,6 @@
         host.budget.level -= 1.0;
         // The step after a read is no further shot; one after a failure is, and spends credit.
         host.credit -= if further { 1.0 } else { 0.0 };
-        self.tried = if reads { now } else { self.tried };
         let asked = host.asked.left(now, 60.0) + shot.net;
         host.asked.set(now, asked);
         let rate = host.rate.left(now, 4.0) + 0.25;
@@ -926,6 +893,11 @@
         self.suspicion.left(now, 4.0)
     }
 
+    /// What is left of its answers' times: they are let go of in ten seconds, so that it is tried again.
+    fn fades(&self, now: Duration) -> f64 {
+        Fading { level: 1.0, at: self.heard }.left(now, 10.0)
+    }
+
     /// An answer earns a fifth of a further shot, up to ten shots, and takes suspicion off.
     fn answered(&mut self, now: Duration) {
         let doubt = self.doubt(now) * 0.6;
--- a/src/state.rs
+++ b/src/state.rs
@@ -185,6 +185,20 @@
     table.get(key?.place as usize).filter(|kept| Some(kept.turn) == key.map(|key| key.turn))
 }
 
+/// The hosts of the highest ranks, the highest first, as many as wanted; the rest is filled up with no host.
+pub(crate) fn highest(wanted: usize, ranked: impl Iterator<Item = (f64, u32)>) -> [u32; 8] {
+    let (mut hosts, mut ranks) = ([u32::MAX; 8], [f64::NEG_INFINITY; 8]);
+    for (rank, h) in ranked {
+        if let Some(place) = (0..wanted.min(8)).find(|i| rank > ranks[*i]) {
+            hosts[place..].rotate_right(1);
+            ranks[place..].rotate_right(1);
+            (hosts[place], ranks[place]) = (h, rank);
+        }
+    }
+    hosts[wanted.min(8)..].fill(u32::MAX);
+    hosts
+}
+
 fn place_of(table: &mut Vec<Kept>, key: Key) -> &mut Kept {
     if table.len() <= key.place as usize {
         table.resize(key.place as usize + 1, Kept::default());
