--- a/src/rules.rs
+++ b/src/rules.rs
@@ -534,7 +534,7 @@
         }
         // Where states have to leave the cell and links are slow, the time lost counts as tokens.
         let ([near, far], speed) = (self.first_time, self.speeds[Role::Reader as usize].value());
-        let moves = host.leaves * f64::max(far - near, 0.0) / speed;
+        let moves = host.leaves * (f64::max(far - near, 0.0) / speed).min(0.75 * self.long_prompt);
         // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: a
         // reader that is asked for more than its part has a long prompt more before it for each part. Only as
         // far as own counts are thin, and where no reader reports its tokens.
