--- a/src/rules.rs
+++ b/src/rules.rs
@@ -532,15 +532,15 @@
         if part != Part::Read {
             return load;
         }
-        // Where states have to leave the cell and links are slow, the time lost counts as tokens.
-        let ([near, far], speed) = (self.first_time, self.speeds[Role::Reader as usize].value());
-        let moves = host.leaves * (f64::max(far - near, 0.0) / speed).min(0.75 * self.long_prompt);
+        // Where states have to leave the cell and links are slow: an agreed time counts two long prompts.
+        let [near, far] = self.first_time;
+        let moves = 2.0 * host.leaves * f64::max(far - near, 0.0) / self.offerings[0].agreed.max(0.01);
         // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: a
         // reader that is asked for more than its part has two long prompts more before it for each part. Only as
         // far as own counts are thin, and where no reader reports its tokens.
         let thin = 4.0 * self.long_prompt / (4.0 * self.long_prompt + self.asked);
         let asked = f64::max(host.asked.left(self.now, 60.0) / self.asked - 1.0, 0.0);
-        load + moves + 2.0 * asked * self.long_prompt * thin
+        load + (moves + 2.0 * asked * thin) * self.long_prompt
     }
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
@@ -642,7 +642,8 @@
         let unseen = writers.1 / (writers.0 + writers.1).max(1e-9);
         // And as far as a far move is worth it: slow links cost more than a full writer near by.
         let [first, far] = self.first_time;
-        let worth = 1.0 - f64::max(far - first, 0.0) / self.offerings[self.tasks[t].offering].agreed;
+        let worth =
+            1.0 - f64::max(far - first, 0.0) / self.offerings[self.tasks[t].offering].agreed.max(0.01);
         let leaves = from.is_some_and(|from| self.chance.part() < from.leaves * unseen * worth);
         let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
