--- a/src/rules.rs
+++ b/src/rules.rs
@@ -252,10 +252,12 @@
             // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
             host.firsts.add(waited, usual.max(0.1), KEEP * host.fades(now));
-            *usual += 0.15 * (waited - *usual);
+            // One answer counts for no more than four times the usual: slow hosts don't make every task late.
+            *usual += 0.15 * (waited.min(4.0 * *usual + 0.1) - *usual);
         } else {
             host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
-            self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
+            let pool = &mut self.speeds[host.listed.role as usize];
+            pool.add(waited.min(4.0 * pool.value() * (shot.queue + STEP)), shot.queue + STEP, POOL);
         }
         host.answered(now);
         let part = shot.part;
@@ -314,7 +316,8 @@
         };
         if let Some(waited) = waited.filter(|_| shot.part != Part::Write && shot.started.is_none()) {
             host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
-            self.speeds[host.listed.role as usize].add(waited, shot.queue + STEP, POOL);
+            let pool = &mut self.speeds[host.listed.role as usize];
+            pool.add(waited.min(4.0 * pool.value() * (shot.queue + STEP)), shot.queue + STEP, POOL);
         }
         if blame > 0.0 {
             let doubt = (host.doubt(now) + blame).min(1.0);
