--- a/src/rules.rs
+++ b/src/rules.rs
@@ -257,7 +257,7 @@
         } else {
             host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
             let pool = &mut self.speeds[host.listed.role as usize];
-            pool.add(waited.min(4.0 * pool.value() * (shot.queue + STEP)), shot.queue + STEP, POOL);
+            pool.add(waited, shot.queue + STEP, POOL);
         }
         host.answered(now);
         let part = shot.part;
@@ -317,7 +317,7 @@
         if let Some(waited) = waited.filter(|_| shot.part != Part::Write && shot.started.is_none()) {
             host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
             let pool = &mut self.speeds[host.listed.role as usize];
-            pool.add(waited.min(4.0 * pool.value() * (shot.queue + STEP)), shot.queue + STEP, POOL);
+            pool.add(waited, shot.queue + STEP, POOL);
         }
         if blame > 0.0 {
             let doubt = (host.doubt(now) + blame).min(1.0);
