--- a/src/rules.rs
+++ b/src/rules.rs
@@ -295,7 +295,7 @@
         let patient = now >= shot.sent + task.patience;
         match closed.outcome {
             Outcome::Read => self.answered_in(shot.part, (now - shot.sent).as_secs_f64()),
-            Outcome::TimedOut => self.came(false),
+            Outcome::TimedOut if !patient => self.came(false),
             _ => {}
         }
         let host = &mut self.hosts[shot.host as usize];
