--- a/src/rules.rs
+++ b/src/rules.rs
@@ -608,8 +608,9 @@
     /// take, both as parts of the fleet; and so for the zone. Own counts say little of that where hundreds of
     /// dispatchers see a task a second each: racks with many readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
-        // A mixed host answers one half of what a writer does whole, and the other from states.
-        let takes = |role| [0.0, 1.0, 0.5, 0.0][role as usize];
+        // A mixed host answers a quarter of what a writer does whole, as it reads at half a reader's speed beside
+        // its streams, and the rest from states.
+        let takes = |role| [0.0, 1.0, 0.75, 0.0][role as usize];
         let reads = |role| [1.0, 0.0, 0.0, 0.0][role as usize];
         let sum = |of: fn(Role) -> f64, within: &dyn Fn(&Listed) -> bool| -> f64 {
             let running = self.hosts.iter().filter(|host| host.runs() && within(&host.listed));
@@ -625,7 +626,7 @@
         let weighed: Vec<(f64, f64)> = self.hosts.iter().map(weigh).collect();
         for (host, weighed) in self.hosts.iter_mut().zip(weighed) {
             (host.leaves, host.spare) = weighed;
-            host.part = if host.listed.role == Role::Mixed { read / (2.0 * taken) } else { 1.0 };
+            host.part = if host.listed.role == Role::Mixed { 0.25 * read / taken } else { 1.0 };
         }
         for i in 0..self.hosts.len() {
             let zone = self.hosts[i].listed.zone;
@@ -675,7 +676,7 @@
         // The least of -ln(chance) / weight falls on each host in proportion to its weight.
         let ranked = alike.map(|(h, _): (u32, _)| {
             let (host, near) = (&self.hosts[h as usize], near(&self.hosts[h as usize]));
-            let mixed = if host.listed.role == Role::Mixed { 0.5 } else { 1.0 };
+            let mixed = if host.listed.role == Role::Mixed { 0.75 } else { 1.0 };
             let weight = if near == 0 { mixed } else { host.spare.max(1e-9) };
             (near, -self.chance.part().ln() / weight, h)
         });
