Probe two homes for their load before the reader is picked where reports are old

Cause: of 160 dispatchers each hears a reader's load twice a minute, so 'the larger of own count and report' was own count alone.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,6 +60,8 @@
     demand: Fading,
     /// Seconds to a first token where the state stays in its cell, and where it leaves it.
     first_time: [f64; 2],
+    /// Prompt tokens that were read anew over all prompt tokens.
+    anew: Ratio,
     /// How much sooner than agreed a task should seem to come, by how many shots ran out of time.
     caution: f64,
     /// Seconds within which 19 of 20 shots are answered that read, write and do both.
@@ -348,7 +350,7 @@
         }
         if !shot.failed && shot.part != Part::Write {
             let read = order.prompt_tokens.saturating_sub(closed.kept_tokens);
-            host.anew.add(f64::from(read), f64::from(order.prompt_tokens), KEEP);
+            self.anew.add(f64::from(read), f64::from(order.prompt_tokens), POOL);
             // What the note says was kept counts: a host that forgot one text has likely forgotten more.
             if shot.thought_kept > 0 {
                 let found = closed.kept_tokens.min(shot.thought_kept);
@@ -366,8 +368,8 @@
     /// Reports in tokens, or in a share of a memory told in tokens; any other field is left out.
     fn reported(&mut self, h: u32, load: &Load) {
         let Some(host) = self.hosts.get_mut(h as usize) else { return };
-        // Whole prompts are reported; the part of them that the host's reads found not kept is what delays.
-        let anew = if host.anew.done > 0.0 { host.anew.value() } else { 1.0 };
+        // Whole prompts are reported; the part of them that reads found not kept is what delays.
+        let anew = if self.anew.done > 0.0 { self.anew.value() } else { 1.0 };
         let fields = ["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"];
         for (field, value) in fields.iter().zip(load.values).take(load.count) {
             match self.terms.text(field) {
@@ -751,6 +753,28 @@
         pick
     }
 
+    /// Where probes are allowed and reports are old, as with hundreds of dispatchers, the two homes are asked for
+    /// their load before the reader is picked; the answers count like any report.
+    fn ask_ahead(&mut self, t: usize) -> bool {
+        if self.tasks[t].asked || !self.terms.flag("allowed.probes") {
+            return false;
+        }
+        let last = self.last_reader(t);
+        let other = self.tasks[t].homes.iter().copied().find(|h| *h != u32::MAX && Some(*h) != last);
+        let old = |h: &u32| {
+            let host = &self.hosts[*h as usize];
+            let at = host.to_read.map_or(Duration::ZERO, |(at, _)| at);
+            host.runs() && self.now > at + Duration::from_millis(500)
+        };
+        let ask = [last.filter(old), other.filter(old)];
+        // Ten milliseconds: there and back, and a tick.
+        let wake = Some(self.now + Duration::from_millis(10)).filter(|_| ask != [None, None]);
+        let task = &mut self.tasks[t];
+        task.asked = true;
+        (task.want.ask, task.want.wake, task.want.keep) = (ask, wake, true);
+        wake.is_some()
+    }
+
     fn plan(&mut self, t: usize) {
         let now = self.now;
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
@@ -772,6 +796,9 @@
         if spent || barred || (first && !self.room(t)) {
             return self.give_up(t);
         }
+        if first && held.is_none() && self.ask_ahead(t) {
+            return;
+        }
         let pick = match held {
             Some(_) => self.pick_writer(t, Part::Write).map(|h| (h, Part::Write)),
             None => self.pick_start(t),
@@ -857,6 +884,8 @@
             let bounced = Action::Bounce { task: number, come_back };
             out.push(if bounce { bounced } else { Action::BreakOff { task: number } });
         }
+        out.extend(task.want.ask.iter().flatten().map(|host| Action::Probe { host: *host }));
+        task.want.ask = [None, None];
         if let Some(i) = task.want.cancel {
             task.shots[i].cancelled = true;
             out.push(Action::Cancel { task: number, shot: i as u32 });
--- a/src/state.rs
+++ b/src/state.rs
@@ -104,8 +104,6 @@
     /// Seconds to first tokens over those that were usual.
     pub(crate) firsts: Ratio,
     pub(crate) trust: Ratio,
-    /// Prompt tokens that were read anew over all prompt tokens.
-    pub(crate) anew: Ratio,
     pub(crate) heard: Duration,
     /// When the latest shot went that it has answered.
     pub(crate) overtook: Duration,
@@ -153,6 +151,7 @@
 pub(crate) struct Wanted {
     pub(crate) shot: Option<(u32, Part, Duration)>,
     pub(crate) cancel: Option<usize>,
+    pub(crate) ask: [Option<u32>; 2],
     pub(crate) answer: Option<bool>,
     pub(crate) keep: bool,
     pub(crate) wake: Option<Duration>,
@@ -174,6 +173,7 @@
     pub(crate) shots: Vec<Shot>,
     pub(crate) patience: Duration,
     pub(crate) ended: bool,
+    pub(crate) asked: bool,
     pub(crate) held_by: Option<u32>,
     /// How long it may be without a shot: for a start, or to take the state held.
     pub(crate) wait_until: Duration,
