--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,8 +64,6 @@
     anew: Ratio,
     /// How much sooner than agreed a task should seem to come, by how many shots ran out of time.
     caution: f64,
-    /// Seconds within which 19 of 20 shots are answered that read, write and do both.
-    usual: [f64; 3],
 }
 
 impl Rules {
@@ -236,13 +234,6 @@
         rank
     }
 
-    /// The time that all but a twentieth of the shots of a part keep within, by small steps up and smaller ones
-    /// down: a few answers raise it, a hundred lower it.
-    fn answered_in(&mut self, part: Part, seconds: f64) {
-        let usual = &mut self.usual[part as usize];
-        *usual = if seconds > *usual { (*usual * 1.2).max(0.5 * seconds) } else { *usual * 0.99 };
-    }
-
     /// A tenth more for each shot that ran out of time, a hundredth less for each that came: settles where one
     /// in ten does. Holds against clients that leave little time and ask again at once, as what they left goes
     /// on; four bounds what a spell of lost hosts can do.
@@ -263,7 +254,6 @@
         if shot.part == Part::Write {
             // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
-            host.firsts.add(waited, usual.max(0.1), KEEP * host.fades(now));
             // One answer counts for no more than four times the usual: slow hosts don't make every task late.
             *usual += 0.15 * (waited.min(4.0 * *usual + 0.1) - *usual);
         } else {
@@ -272,8 +262,6 @@
             pool.add(waited, shot.queue + STEP, POOL);
         }
         host.answered(now);
-        let part = shot.part;
-        self.answered_in(part, waited);
         self.came(true);
         t
     }
@@ -295,10 +283,8 @@
         }
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
         let patient = now >= shot.sent + task.patience;
-        match closed.outcome {
-            Outcome::Read => self.answered_in(shot.part, (now - shot.sent).as_secs_f64()),
-            Outcome::TimedOut if !patient => self.came(false),
-            _ => {}
+        if closed.outcome == Outcome::TimedOut && !patient {
+            self.came(false);
         }
         let host = &mut self.hosts[shot.host as usize];
         host.shots_out = host.shots_out.saturating_sub(1);
@@ -318,9 +304,6 @@
         };
         if closed.outcome == Outcome::Read {
             host.overtook = host.overtook.max(shot.sent);
-        } else if closed.outcome == Outcome::Full {
-            // Nothing more until a place may have come free: a tenth of a second is a few answers' time.
-            host.full_until = now + Duration::from_millis(100);
         }
         // What was not read in time took at least so long, and a full reader has an agreed time's reads before
         // it: else only what came through a jam would count, and the jam would look like none.
@@ -450,7 +433,7 @@
         let (task, host) = (&self.tasks[t], &self.hosts[h as usize]);
         let told = &self.offerings[task.offering];
         let further = task.shots.iter().any(|shot| shot.failed);
-        if !host.runs() || now < host.full_until || (further && host.credit < 1.0) {
+        if !host.runs() || (further && host.credit < 1.0) {
             return false;
         }
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
@@ -507,14 +490,8 @@
     /// How many times slower than its role a reader has been of late; 1 within the usual spread. Sound readers
     /// with long prompts differ by up to 2, so weighed; ten bounds what a reading taken in a jam can do.
     fn slow(&self, h: u32, part: Part) -> f64 {
-        let host = &self.hosts[h as usize];
-        let reads = self.speed(h) / self.speeds[host.listed.role as usize].value();
-        let fades = host.fades(self.now);
-        // An agreed time's waits are needed to tell a slow writer from one that was full for a moment.
-        let told = self.offerings.iter().map(|offering| offering.agreed).fold(0.01, f64::max);
-        let firsts = (host.firsts.spent * fades + told) / (host.firsts.done * fades + told);
-        let times = if part == Part::Write { firsts } else { reads };
-        if times < 2.0 { 1.0 } else { times.min(10.0) }
+        let times = self.speed(h) / self.speeds[self.hosts[h as usize].listed.role as usize].value();
+        if times < 2.0 || part == Part::Write { 1.0 } else { times.min(10.0) }
     }
 
     /// Tokens before a new read: own pending ones or the late report of tokens to read, whichever is larger;
@@ -703,13 +680,8 @@
         // too late.
         let told = self.offerings[task.offering].agreed;
         let ample = by > 0.5 * told;
-        let quiet = ample && host.reading <= 0.0 && now > host.heard + Duration::from_secs_f64(by / 3.0);
-        // One an agreed time where the whole role is late: else hundreds of dispatchers' trials keep the jam.
-        let role = host.listed.role;
-        let usual = self.speeds[role as usize].value() * (self.to_read(h) + self.net(t, h) + STEP);
-        let trial = quiet
-            && ((usual + self.first_token(h)) * self.caution < by
-                || self.peers(role).all(|(_, peer)| peer.reading <= 0.0));
+        // One at a time: else hundreds of dispatchers' trials would keep a jam of all.
+        let trial = ample && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
         let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
         trial || (in_turn && (self.read_expected(t, h) + self.first_token(h)) * self.caution < by)
     }
@@ -813,8 +785,7 @@
         if let Some((h, part)) = pick {
             // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed
             // time.
-            let usual = self.usual[part as usize];
-            task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed).max(usual).min(1e6));
+            task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed).min(1e6));
             let until = if cancel { stop } else { stop.min(now + 6 * task.patience) };
             task.want.shot = Some((h, part, until));
             task.want.wake = Some(now + task.patience).filter(|at| cancel && *at < stop);
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,13 +101,10 @@
     pub(crate) reads: Ratio,
     /// Tokens sent here to be read of late.
     pub(crate) asked: Fading,
-    /// Seconds to first tokens over those that were usual.
-    pub(crate) firsts: Ratio,
     pub(crate) trust: Ratio,
     pub(crate) heard: Duration,
     /// When the latest shot went that it has answered.
     pub(crate) overtook: Duration,
-    pub(crate) full_until: Duration,
     /// Of its cell: the part of its reads that has to leave it, and of these its zone; and what each writer of
     /// it can take beyond.
     pub(crate) leaves: f64,
