Take a long prompt as asked of each reader, three more for each part beyond; state moves to its file

Found by a table: a session left its reader after the first read, which alone was all that had been asked. Tables green.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,10 +5,9 @@
 //! difference.
 
 use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Terms};
-use crate::state::{
-    Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted, find_kept, highest, note_demand,
-    note_kept,
-};
+pub use crate::state::Rules;
+use crate::state::{Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted};
+use crate::state::{find_kept, highest, note_demand, note_kept};
 use std::cmp::Ordering;
 use std::time::Duration;
 
@@ -34,38 +33,6 @@
     }
 }
 
-#[derive(Default)]
-pub struct Rules {
-    now: Duration,
-    note: Option<(u32, &'static str)>,
-    chance: Chance,
-    terms: Terms,
-    offerings: Vec<Offering>,
-    /// Each customer's part of its share here, in tasks a second, and what is left of it.
-    customers: Vec<(f64, Fading)>,
-    dispatchers: f64,
-    zone: u32,
-    hosts: Vec<Host>,
-    tasks: Vec<Task>,
-    sessions: Vec<Kept>,
-    shared: Vec<Kept>,
-    /// Scratch for one pick.
-    counts: Vec<f64>,
-    long_prompt: f64,
-    /// Seconds for each token to read, by role.
-    speeds: [Ratio; 4],
-    /// Tokens that a reader was asked to read of late, on average; without bound where readers report.
-    asked: f64,
-    orders: Fading,
-    demand: Fading,
-    /// Seconds to a first token where the state stays in its cell, and where it leaves it.
-    first_time: [f64; 2],
-    /// Prompt tokens that were read anew over all prompt tokens.
-    anew: Ratio,
-    /// How much sooner than agreed a task should seem to come, by how many shots ran out of time.
-    caution: f64,
-}
-
 impl Rules {
     pub fn new(seed: u64, terms: &Terms) -> Self {
         let dispatchers = terms.number("dispatchers").unwrap_or(1.0).max(1.0);
@@ -183,8 +150,7 @@
         }
         let offering = order.offering.map_or(0, |o| o as usize).min(self.offerings.len() - 1);
         let rank = self.rank(order, offering);
-        let all = self.demand.left(now, 30.0) + 1.0;
-        self.demand.set(now, all);
+        self.demand.add(now, 30.0, 1.0);
         let homes = self.find_homes(order);
         let told = &self.offerings[offering];
         let prompt = f64::from(order.prompt_tokens);
@@ -212,8 +178,6 @@
         };
         // The upper quartile of prompt lengths, by small steps: a few dozen prompts settle it.
         self.long_prompt *= if prompt > self.long_prompt { 1.015 } else { 0.995 };
-        let orders = self.orders.left(now, 4.0) + 0.25;
-        self.orders.set(now, orders);
         order.task
     }
 
@@ -234,13 +198,6 @@
         rank
     }
 
-    /// A tenth more for each shot that ran out of time, a hundredth less for each that came: settles where one
-    /// in ten does. Holds against clients that leave little time and ask again at once, as what they left goes
-    /// on; four bounds what a spell of lost hosts can do.
-    fn came(&mut self, came: bool) {
-        self.caution = (self.caution * if came { 0.99 } else { 1.1 }).clamp(1.0, 4.0);
-    }
-
     fn started(&mut self, t: u32, shot: u32) -> u32 {
         let now = self.now;
         let Some(task) = self.tasks.get_mut(t as usize) else { return t };
@@ -262,7 +219,7 @@
             pool.add(waited, shot.queue + STEP, POOL);
         }
         host.answered(now);
-        self.came(true);
+        self.caution = (self.caution * 0.99).max(1.0);
         t
     }
 
@@ -284,7 +241,10 @@
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
         let patient = now >= shot.sent + task.patience;
         if closed.outcome == Outcome::TimedOut && !patient {
-            self.came(false);
+            // A tenth more for each shot that ran out of time, a hundredth less for each that came: settles
+            // where one in ten does. Holds against clients that leave little time and ask again at once, as
+            // what they left goes on; four bounds what a spell of lost hosts can do.
+            self.caution = (self.caution * 1.1).min(4.0);
         }
         let host = &mut self.hosts[shot.host as usize];
         host.shots_out = host.shots_out.saturating_sub(1);
@@ -461,7 +421,7 @@
         let role = host.listed.role;
         let warm = self.peers(role).filter(|(_, peer)| now >= peer.warm_at);
         let (warm, rate) = warm.fold((0.0, 0.0), |s, (_, peer)| (s.0 + 1.0, s.1 + peer.rate.left(now, 4.0)));
-        let asked = self.orders.left(now, 4.0) / self.peers(role).count().max(1) as f64;
+        let asked = self.demand.left(now, 30.0) / 30.0 / self.peers(role).count().max(1) as f64;
         let each = if warm > 0.0 { asked.min(rate / warm) } else { asked };
         let cold_from = self.terms.number("rules.cold_from").unwrap_or(0.1);
         // Warming evenly, but never past four fifths of what even a host that stays cold throughout would
@@ -530,12 +490,13 @@
         // Where states have to leave the cell and links are slow: an agreed time counts two long prompts.
         let [near, far] = self.first_time;
         let moves = 2.0 * host.leaves * f64::max(far - near, 0.0) / self.offerings[0].agreed.max(0.01);
-        // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: a
-        // reader that is asked for more than its part has two long prompts more before it for each part. Only as
-        // far as own counts are thin, and where no reader reports its tokens.
-        let thin = 4.0 * self.long_prompt / (4.0 * self.long_prompt + self.asked);
-        let asked = f64::max(host.asked.left(self.now, 60.0) / self.asked - 1.0, 0.0);
-        load + (moves + 2.0 * asked * thin) * self.long_prompt
+        // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: one
+        // asked for more than its part has three long prompts more before it for each part. A long prompt each is
+        // taken as asked, for the first ones. Only as far as own counts are thin, and no reader reports tokens.
+        let (long, asked) = (self.long_prompt, host.asked.left(self.now, 60.0));
+        let thin = 4.0 * long / (4.0 * long + self.asked);
+        let over = f64::max((asked + long) / (self.asked + long) - 1.0, 0.0);
+        load + (moves + 3.0 * over * thin) * long
     }
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
@@ -897,19 +858,13 @@
         host.budget.level -= 1.0;
         // The step after a read is no further shot; one after a failure is, and spends credit.
         host.credit -= if further { 1.0 } else { 0.0 };
-        let asked = host.asked.left(now, 60.0) + shot.net;
-        host.asked.set(now, asked);
-        let rate = host.rate.left(now, 4.0) + 0.25;
-        host.rate.set(now, rate);
+        host.asked.add(now, 60.0, shot.net);
+        host.rate.add(now, 4.0, 0.25);
         out.push(Action::Send { task: number, host: h, until });
     }
 }
 
 impl Host {
-    fn runs(&self) -> bool {
-        self.listed.standing == Standing::Running
-    }
-
     /// Suspicion fades in some four seconds, so that a host is tried again by and by.
     fn doubt(&self, now: Duration) -> f64 {
         self.suspicion.left(now, 4.0)
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that the rules keep, and the plain helpers on it: no decision, no tuned value.
 
-use crate::interface::{Key, Listed, Order};
+use crate::interface::{Key, Listed, Order, Standing, Terms};
 use std::time::Duration;
 
 /// PCG-XSH-RR 64/32 (O'Neill).
@@ -38,6 +38,10 @@
         self.level * (-now.saturating_sub(self.at).as_secs_f64() / seconds).exp()
     }
 
+    pub(crate) fn add(&mut self, now: Duration, seconds: f64, more: f64) {
+        *self = Fading { level: self.left(now, seconds) + more, at: now };
+    }
+
     pub(crate) fn set(&mut self, now: Duration, level: f64) {
         *self = Fading { level, at: now };
     }
@@ -210,9 +214,8 @@
 /// Counts one more task with the text; gives the count, faded over so many seconds.
 pub(crate) fn note_demand(table: &mut Vec<Kept>, key: Key, now: Duration, seconds: f64) -> f64 {
     let kept = place_of(table, key);
-    let count = kept.demand.left(now, seconds) + 1.0;
-    kept.demand.set(now, count);
-    count
+    kept.demand.add(now, seconds, 1.0);
+    kept.demand.level
 }
 
 pub(crate) fn note_kept(table: &mut Vec<Kept>, key: Option<Key>, h: u32, tokens: u32, now: Duration) {
@@ -223,3 +226,42 @@
     let oldest = (0..kept.by.len()).min_by_key(|i| kept.by[*i].2).unwrap_or(0);
     kept.by[same.unwrap_or(oldest)] = (h, tokens, now);
 }
+
+impl Host {
+    pub(crate) fn runs(&self) -> bool {
+        self.listed.standing == Standing::Running
+    }
+}
+
+/// All that one dispatcher knows; what it does with it is in [`crate::rules`].
+#[derive(Default)]
+pub struct Rules {
+    pub(crate) now: Duration,
+    pub(crate) note: Option<(u32, &'static str)>,
+    pub(crate) chance: Chance,
+    pub(crate) terms: Terms,
+    pub(crate) offerings: Vec<Offering>,
+    /// Each customer's part of its share here, in tasks a second, and what is left of it.
+    pub(crate) customers: Vec<(f64, Fading)>,
+    pub(crate) dispatchers: f64,
+    pub(crate) zone: u32,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) sessions: Vec<Kept>,
+    pub(crate) shared: Vec<Kept>,
+    /// Scratch for one pick.
+    pub(crate) counts: Vec<f64>,
+    pub(crate) long_prompt: f64,
+    /// Seconds for each token to read, by role.
+    pub(crate) speeds: [Ratio; 4],
+    /// Tokens that a reader was asked to read of late, on average; without bound where readers report.
+    pub(crate) asked: f64,
+    /// Tasks of the last half minute.
+    pub(crate) demand: Fading,
+    /// Seconds to a first token where the state stays in its cell, and where it leaves it.
+    pub(crate) first_time: [f64; 2],
+    /// Prompt tokens that were read anew over all prompt tokens.
+    pub(crate) anew: Ratio,
+    /// How much sooner than agreed a task should seem to come, by how many shots ran out of time.
+    pub(crate) caution: f64,
+}
