--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,13 +1,12 @@
 //! All decisions of tulipstall. `Rules::new` takes a seed and the terms told at start; `Rules::on` takes one
-//! event at a time and appends the actions that it calls for. Both are plain data, defined in
-//! `src/interface.rs`. Nothing here reads a clock, and equal events give equal actions. An event changes what
-//! a task wants (`plan`); `settle` alone compares that with what is out, held and timed, and emits the
-//! difference.
+//! event at a time and appends the actions that it calls for, plain data of `src/interface.rs`. Nothing reads
+//! a clock; equal events give equal actions. An event changes what a task wants (`plan`); `settle` alone
+//! compares that with what is out, held and timed, and emits the difference.
 
 use crate::interface::{Action, Closed, Event, Key, Listed, Load, Order, Outcome, Role, Standing, Terms};
 pub use crate::state::Rules;
 use crate::state::{Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted};
-use crate::state::{find_kept, highest, note_demand, note_kept};
+use crate::state::{find_kept, highest, kept_by, note_demand, note_kept};
 use std::cmp::Ordering;
 use std::time::Duration;
 
@@ -36,22 +35,19 @@
 impl Rules {
     pub fn new(seed: u64, terms: &Terms) -> Self {
         let dispatchers = terms.number("dispatchers").unwrap_or(1.0).max(1.0);
-        let quota = |i| terms.number(&format!("customers.{i}.quota_per_s")).unwrap_or(f64::INFINITY);
-        let mut chance = Chance(seed ^ 0x9e37_79b9_7f4a_7c15);
-        chance.next();
+        let told = |i| terms.number(&format!("customers.{i}.quota_per_s")).unwrap_or(f64::INFINITY);
+        let quota = |i| told(i) / dispatchers;
         Rules {
-            chance,
+            chance: Chance(seed ^ 0x9e37_79b9_7f4a_7c15).mixed(),
             offerings: (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i)).collect(),
-            customers: (0..terms.entries("customers"))
-                .map(|i| (quota(i) / dispatchers, Fading::default()))
-                .collect(),
+            customers: (0..terms.entries("customers")).map(|i| (quota(i), Fading::default())).collect(),
             dispatchers,
             zone: terms.number("zone_index").map_or(u32::MAX, |zone| zone as u32),
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
             caution: 1.0,
-            // As if two prompts had been read at ten thousand tokens a second, the order of magnitude of
-            // engines: one full host at the start does not make all seem late.
+            // As if two prompts had been read at engines' order of magnitude, ten thousand tokens a second: one
+            // full host at the start does not make all seem late.
             speeds: [Ratio { spent: 0.4, done: 4000.0 }; 4],
             terms: terms.clone(),
             ..Rules::default()
@@ -134,8 +130,7 @@
             host.listed = *line;
         }
         self.weigh_cells();
-        // What waits at a host that is gone turns away from it at once; what waits for a host may have one
-        // now.
+        // What waits at a host that is gone turns away from it at once; what waits for one may have one now.
         for t in 0..self.tasks.len() {
             self.plan(t);
             self.settle(t, out);
@@ -214,9 +209,7 @@
             // One answer counts for no more than four times the usual: slow hosts don't make every task late.
             *usual += 0.15 * (waited.min(4.0 * *usual + 0.1) - *usual);
         } else {
-            host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
-            let pool = &mut self.speeds[host.listed.role as usize];
-            pool.add(waited, shot.queue + STEP, POOL);
+            host.took(now, waited, shot.queue, &mut self.speeds);
         }
         host.answered(now);
         self.caution = (self.caution * 0.99).max(1.0);
@@ -234,7 +227,11 @@
         shot.may_have_run = shot.part != Part::Read && !closed.outcome.never_ran();
         shot.failed = !matches!(closed.outcome, Outcome::Delivered | Outcome::Read);
         match closed.outcome {
-            Outcome::Read => task.held_by = Some(shot.host),
+            Outcome::Read => {
+                task.held_by = Some(shot.host);
+                let overtook = &mut self.hosts[shot.host as usize].overtook;
+                *overtook = shot.sent.max(*overtook);
+            }
             Outcome::NoState | Outcome::Delivered => task.held_by = None,
             _ => {}
         }
@@ -262,34 +259,24 @@
             Outcome::Broken | Outcome::NoConnection => 0.6,
             _ => 0.0,
         };
-        if closed.outcome == Outcome::Read {
-            host.overtook = host.overtook.max(shot.sent);
-        }
         // What was not read in time took at least so long, and a full reader has an agreed time's reads before
         // it: else only what came through a jam would count, and the jam would look like none.
-        let waited = match closed.outcome {
-            Outcome::Read | Outcome::TimedOut | Outcome::Cancelled => Some((now - shot.sent).as_secs_f64()),
-            Outcome::Full => Some(told),
-            _ => None,
-        };
-        if let Some(waited) = waited.filter(|_| shot.part != Part::Write && shot.started.is_none()) {
-            host.reads.add(waited, shot.queue + STEP, KEEP * host.fades(now));
-            let pool = &mut self.speeds[host.listed.role as usize];
-            pool.add(waited, shot.queue + STEP, POOL);
+        let waited = if closed.outcome == Outcome::Full { told } else { (now - shot.sent).as_secs_f64() };
+        let ends =
+            matches!(closed.outcome, Outcome::Read | Outcome::TimedOut | Outcome::Cancelled | Outcome::Full);
+        if ends && shot.part != Part::Write && shot.started.is_none() {
+            host.took(now, waited, shot.queue, &mut self.speeds);
         }
         if blame > 0.0 {
-            let doubt = (host.doubt(now) + blame).min(1.0);
-            host.suspicion.set(now, doubt);
+            host.suspicion.set(now, (host.doubt(now) + blame).min(1.0));
         } else if !shot.failed {
             host.answered(now);
         }
-        // A line for the one on call when a host falls under suspicion (half of certain: a silence, two
-        // errors) and when it answers again.
+        // A line for the one on call when a host is half suspected (a silence, two errors) and when no longer.
         let doubt = host.doubt(now);
-        if host.suspected != (doubt >= 0.5) && (doubt >= 0.5 || doubt < 0.2 && !shot.failed) {
-            host.suspected = doubt >= 0.5;
-            let what = if host.suspected { "suspected" } else { "answers again" };
-            self.note = Some((shot.host, what));
+        if if host.suspected { doubt < 0.2 && !shot.failed } else { doubt >= 0.5 } {
+            host.suspected = !host.suspected;
+            self.note = Some((shot.host, if host.suspected { "suspected" } else { "answers again" }));
         }
         if !shot.failed && shot.part != Part::Write {
             let read = order.prompt_tokens.saturating_sub(closed.kept_tokens);
@@ -327,16 +314,12 @@
     /// thought kept at its homes; the note on the first read corrects that.
     fn kept(&self, t: usize, h: u32) -> u32 {
         let (order, homes) = (&self.tasks[t].order, &self.tasks[t].homes);
-        let of = |table: &[Kept], key: Option<Key>, tokens: u32| {
-            let kept = find_kept(table, key)?;
-            // Kept texts give way to newer ones in time; a minute is many times a session's pause.
-            let good =
-                |(by, _, at): &&(u32, u32, Duration)| *by == h && self.now - *at < Duration::from_secs(60);
-            kept.by.iter().find(good).map(|(_, kept, _)| tokens.min(*kept)).filter(|kept| *kept > 0)
-        };
-        let shared = of(&self.shared, order.shared, order.shared_tokens);
+        // Kept texts give way to newer ones in time; a minute is many times a session's pause.
+        let since = self.now.saturating_sub(Duration::from_secs(60));
+        let shared = kept_by(&self.shared, order.shared, h, since).map(|kept| kept.min(order.shared_tokens));
         let shared = shared.unwrap_or(if homes.contains(&h) { order.shared_tokens } else { 0 });
-        of(&self.sessions, order.session, order.prompt_tokens).unwrap_or(0).max(shared)
+        let session = kept_by(&self.sessions, order.session, h, since).unwrap_or(0);
+        session.min(order.prompt_tokens).max(shared)
     }
 
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
@@ -346,13 +329,12 @@
             - f64::from(self.kept(t, h)) * self.hosts[h as usize].trust.value()
     }
 
-    /// A shared text is at home at the readers that a hash of both ranks highest: dispatchers that cannot talk
-    /// thus bring one text to the same readers, and the readers' memory holds more texts. Two, or as many as
-    /// the text's part of the tasks seen here would keep busy, so that a text in demand does not choke them.
+    /// A shared text is at home at the hosts that a hash of both ranks highest: dispatchers that cannot talk
+    /// bring it to the same readers, whose memory holds more texts. Two, or as many as the text's part of the
+    /// tasks seen here would keep busy, so that a text in demand does not choke them.
     fn find_homes(&mut self, order: &Order) -> [u32; 8] {
         let Some(key) = order.shared else { return [u32::MAX; 8] };
-        // Half a minute: some dozens of tasks, also where a dispatcher is given one a second. Ten more are
-        // taken as seen, so that a first text does not seem to be all there is.
+        // Half a minute: dozens of tasks even at one a second; ten more, so that a first text is not all.
         let all = self.demand.left(self.now, 30.0) + 10.0;
         let seen = note_demand(&mut self.shared, key, self.now, 30.0) / all;
         let readers = || self.peers(Role::Reader).chain(self.peers(Role::Mixed));
@@ -406,10 +388,9 @@
 
     /// Shots that a cold host may be sent now. The budget fills at the part of a warm peer's own traffic that
     /// the host can do for certain, and a shot not taken in half the time in which a host falls lapses: no
-    /// burst, and what this dispatcher forgot at its own restart cannot be spent twice. All dispatchers' parts
-    /// add up to a warm peer's traffic times that part, well inside the multiple at which the host falls. Each
-    /// starts at its own place between nothing and a shot: where there are hundreds none would come to a whole
-    /// shot before the host is warm, and all would come at once.
+    /// burst, and nothing forgotten at a restart is spent twice. All dispatchers' parts add up to a warm peer's
+    /// traffic times that part, well inside the multiple at which the host falls. Each starts at its own place
+    /// between nothing and a shot: else hundreds would all come late and at once.
     fn cold_budget(&mut self, h: u32) -> f64 {
         let now = self.now;
         let host = &self.hosts[h as usize];
@@ -424,8 +405,7 @@
         let asked = self.demand.left(now, 30.0) / 30.0 / self.peers(role).count().max(1) as f64;
         let each = if warm > 0.0 { asked.min(rate / warm) } else { asked };
         let cold_from = self.terms.number("rules.cold_from").unwrap_or(0.1);
-        // Warming evenly, but never past four fifths of what even a host that stays cold throughout would
-        // stand.
+        // Warming evenly, but never past four fifths of what a host that stays cold throughout would stand.
         let stands = 0.8 * cold_from * self.terms.number("rules.fall_multiple").unwrap_or(1.0);
         let part = (cold_from + (1.0 - cold_from) * age.max(0.0)).min(stands);
         let host = &mut self.hosts[h as usize];
@@ -437,9 +417,8 @@
         level
     }
 
-    /// Seconds a token takes at a host, of late. Its own answers are weighed against two long prompts of all
-    /// hosts' of its role: with a task a second here and a host heard of twice a minute, the role's speed is
-    /// all there is, and it tells a jam of all from a slow host.
+    /// Seconds a token takes at a host, of late. Its own answers are weighed against two long prompts of its
+    /// role's: where a host is heard of twice a minute, that is all there is, and it tells a jam from a slow host.
     fn speed(&self, h: u32) -> f64 {
         let (host, weight) = (&self.hosts[h as usize], 2.0 * self.long_prompt);
         let fades = host.fades(self.now);
@@ -455,18 +434,10 @@
     }
 
     /// Tokens before a new read: own pending ones or the late report of tokens to read, whichever is larger;
-    /// a host without a late report counts at the average of those that have one.
+    /// a host without a late report counts at the average of those of its role that have one.
     fn to_read(&self, h: u32) -> f64 {
         let host = &self.hosts[h as usize];
-        let late = |host: &Host| {
-            host.to_read.filter(|(at, _)| self.now - *at < Duration::from_secs(2)).map(|(_, tokens)| tokens)
-        };
-        let average = || {
-            let told = self.peers(host.listed.role).filter_map(|(_, peer)| late(peer));
-            let (sum, count) = told.fold((0.0, 0.0), |(sum, count), tokens| (sum + tokens, count + 1.0));
-            sum / f64::max(count, 1.0)
-        };
-        host.reading.max(late(host).unwrap_or_else(average))
+        host.reading.max(host.told_of_late(self.now).unwrap_or(self.told[host.listed.role as usize].value()))
     }
 
     /// Seconds from a read's end there to the first token.
@@ -503,19 +474,26 @@
     fn count(&mut self, t: usize, part: Part) -> f64 {
         let (order, output) = (self.tasks[t].order, self.tasks[t].output);
         let writers_read = self.terms.flag("service.writers_read");
-        let (asked, readers) = self.peers(Role::Reader).fold((0.0, 0.0), |(sum, count), (_, host)| {
-            let told = if host.to_read.is_some() { f64::INFINITY } else { 0.0 };
-            (sum + host.asked.left(self.now, 60.0) + told, count + 1.0)
-        });
-        self.asked = f64::max(asked / f64::max(readers, 1.0), 1.0);
+        let (mut told, mut asked, mut readers) = ([Ratio::default(); 4], 0.0, 0.0);
+        for host in self.hosts.iter().filter(|host| host.runs()) {
+            if let Some(tokens) = host.told_of_late(self.now) {
+                told[host.listed.role as usize].add(tokens, 1.0, 1.0);
+            }
+            if host.listed.role == Role::Reader {
+                asked += host.asked.left(self.now, 60.0)
+                    + if host.to_read.is_some() { f64::INFINITY } else { 0.0 };
+                readers += 1.0;
+            }
+        }
+        (self.told, self.asked) = (told, f64::max(asked / f64::max(readers, 1.0), 1.0));
         let mut counts = std::mem::take(&mut self.counts);
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
-            let fit = match self.hosts[h as usize].listed.role {
-                Role::Reader => part == Part::Read,
-                Role::Writer => part == Part::Write || (part == Part::Whole && writers_read),
-                Role::Mixed => part != Part::Read,
-                Role::Unknown => false,
+            let fit = match (self.hosts[h as usize].listed.role, part) {
+                (Role::Reader, Part::Read) | (Role::Writer | Role::Mixed, Part::Write) => true,
+                (Role::Mixed, Part::Whole) => true,
+                (Role::Writer, Part::Whole) => writers_read,
+                _ => false,
             };
             let net = if part == Part::Write { f64::from(order.prompt_tokens) } else { self.net(t, h) };
             let net = if part == Part::Read { net } else { net + output };
@@ -544,9 +522,9 @@
         ranked.max().map(|(.., h)| h)
     }
 
-    /// What every dispatcher would send a cell's writers if each state stayed in its cell, against what they can
-    /// take, both as parts of the fleet; and so for the zone. Own counts say little of that where hundreds of
-    /// dispatchers see a task a second each: racks with many readers would choke their few writers, unseen.
+    /// What all would send a cell's writers if each state stayed in its cell, against what they can take, as
+    /// parts of the fleet; and so for the zone. Where hundreds of dispatchers see a task a second each, own
+    /// counts do not tell: racks with many readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
         // A mixed host answers a quarter of what a writer does whole, as it reads at half a reader's speed beside
         // its streams, and the rest from states.
@@ -865,11 +843,22 @@
 }
 
 impl Host {
+    /// A report of tokens to read tells for two seconds.
+    fn told_of_late(&self, now: Duration) -> Option<f64> {
+        self.to_read.filter(|(at, _)| now - *at < Duration::from_secs(2)).map(|(_, tokens)| tokens)
+    }
+
     /// Suspicion fades in some four seconds, so that a host is tried again by and by.
     fn doubt(&self, now: Duration) -> f64 {
         self.suspicion.left(now, 4.0)
     }
 
+    /// A prompt was read here, or not in so long.
+    fn took(&mut self, now: Duration, waited: f64, queue: f64, speeds: &mut [Ratio; 4]) {
+        self.reads.add(waited, queue + STEP, KEEP * self.fades(now));
+        speeds[self.listed.role as usize].add(waited, queue + STEP, POOL);
+    }
+
     /// What is left of its answers' times: they are let go of in ten seconds, so that it is tried again.
     fn fades(&self, now: Duration) -> f64 {
         Fading { level: 1.0, at: self.heard }.left(now, 10.0)
--- a/src/state.rs
+++ b/src/state.rs
@@ -186,6 +186,12 @@
     table.get(key?.place as usize).filter(|kept| Some(kept.turn) == key.map(|key| key.turn))
 }
 
+/// Tokens of a text that a host is thought to have kept since then.
+pub(crate) fn kept_by(table: &[Kept], key: Option<Key>, h: u32, since: Duration) -> Option<u32> {
+    let kept = find_kept(table, key)?.by.iter().find(|(by, _, at)| *by == h && *at > since);
+    kept.map(|(_, tokens, _)| *tokens).filter(|tokens| *tokens > 0)
+}
+
 /// The hosts of the highest ranks, the highest first, as many as wanted; the rest is filled up with no host.
 pub(crate) fn highest(wanted: usize, ranked: impl Iterator<Item = (f64, u32)>) -> [u32; 8] {
     let (mut hosts, mut ranks) = ([u32::MAX; 8], [f64::NEG_INFINITY; 8]);
@@ -258,6 +264,8 @@
     pub(crate) asked: f64,
     /// Tasks of the last half minute.
     pub(crate) demand: Fading,
+    /// Tokens to read that hosts reported of late, by role.
+    pub(crate) told: [Ratio; 4],
     /// Seconds to a first token where the state stays in its cell, and where it leaves it.
     pub(crate) first_time: [f64; 2],
     /// Prompt tokens that were read anew over all prompt tokens.
