--- a/src/rules.rs
+++ b/src/rules.rs
@@ -440,6 +440,12 @@
         host.reading.max(host.told_of_late(self.now).unwrap_or(self.told[host.listed.role as usize].value()))
     }
 
+    /// What a far move adds to the time of a first token, in agreed times.
+    fn far_costs(&self) -> f64 {
+        let ([near, far], told) = (self.first_time, self.offerings[0].agreed.max(0.01));
+        f64::max(far - near, 0.0) / told
+    }
+
     /// Seconds from a read's end there to the first token.
     fn first_token(&self, h: u32) -> f64 {
         let ([near, far], leaves) = (self.first_time, self.hosts[h as usize].leaves);
@@ -459,8 +465,7 @@
             return load;
         }
         // Where states have to leave the cell and links are slow: an agreed time counts two long prompts.
-        let [near, far] = self.first_time;
-        let moves = 2.0 * host.leaves * f64::max(far - near, 0.0) / self.offerings[0].agreed.max(0.01);
+        let moves = 2.0 * host.leaves * self.far_costs();
         // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: one
         // asked for more than its part has three long prompts more before it for each part. A long prompt each is
         // taken as asked, for the first ones. Only as far as own counts are thin, and no reader reports tokens.
@@ -507,27 +512,23 @@
     /// The reader with the fewest pending tokens; the last reader wins up to one long prompt above it.
     fn pick_reader(&mut self, t: usize) -> Option<u32> {
         let fewest = self.count(t, Part::Read);
-        let within =
-            |count: Option<&f64>, margin: f64| count.is_some_and(|c| c.is_finite() && *c <= fewest + margin);
+        let within = |count: f64, margin: f64| count.is_finite() && count <= fewest + margin;
         // Only a last reader that may be sent to counts: with none at all, both are without bound.
-        let last = self.last_reader(t);
-        if let Some(last) = last.filter(|h| within(self.counts.get(*h as usize), self.long_prompt)) {
-            return Some(last);
+        let last = self.last_reader(t).filter(|h| within(self.counts[*h as usize], self.long_prompt));
+        if last.is_some() {
+            return last;
         }
-        // Less than a step apart is alike: the own zone, then chance, so that dispatchers don't follow one
-        // another to one reader.
-        let alike = (0..).zip(&self.counts).filter(|(_, count)| within(Some(count), STEP));
-        let ranked = alike
-            .map(|(h, _): (u32, _)| (self.zone == self.hosts[h as usize].listed.zone, self.chance.next(), h));
-        ranked.max().map(|(.., h)| h)
+        // Less than a step apart is alike: the own zone, then chance, so that dispatchers don't follow others.
+        let alike = (0..).zip(&self.counts).filter(|(_, count)| within(**count, STEP));
+        let own = |h: u32| self.zone == self.hosts[h as usize].listed.zone;
+        alike.map(|(h, _)| (own(h), self.chance.next(), h)).max().map(|(.., h)| h)
     }
 
     /// What all would send a cell's writers if each state stayed in its cell, against what they can take, as
     /// parts of the fleet; and so for the zone. Where hundreds of dispatchers see a task a second each, own
     /// counts do not tell: racks with many readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
-        // A mixed host answers a quarter of what a writer does whole, as it reads at half a reader's speed beside
-        // its streams, and the rest from states.
+        // A mixed host does a quarter of a writer's part whole, as reads slow its streams, the rest from states.
         let takes = |role| [0.0, 1.0, 0.75, 0.0][role as usize];
         let reads = |role| [1.0, 0.0, 0.0, 0.0][role as usize];
         let sum = |of: fn(Role) -> f64, within: &dyn Fn(&Listed) -> bool| -> f64 {
@@ -570,16 +571,12 @@
         let fewest = self.count(t, part);
         let margin = self.alike(t);
         let from = self.tasks[t].held_by.map(|h| self.hosts[h as usize]);
-        // As far as own counts say nothing: with some streams of its own at each writer a dispatcher sees who is
-        // full, with none it has only the list.
-        let writers =
-            self.peers(Role::Writer).fold((0.0, 0.0), |s, (_, host)| (s.0 + host.writing, s.1 + margin));
-        let unseen = writers.1 / (writers.0 + writers.1).max(1e-9);
-        // And as far as a far move is worth it: slow links cost more than a full writer near by.
-        let [first, far] = self.first_time;
-        let worth =
-            1.0 - f64::max(far - first, 0.0) / self.offerings[self.tasks[t].offering].agreed.max(0.01);
-        let leaves = from.is_some_and(|from| self.chance.part() < from.leaves * unseen * worth);
+        // States leave as far as own counts say nothing (with streams of its own at each writer a dispatcher
+        // sees who is full), and as far as it is worth it: slow links cost more than a full writer near by.
+        let writers = self.peers(Role::Writer);
+        let (own, alike) = writers.fold((0.0, 1.0), |s, (_, host)| (s.0 + host.writing, s.1 + margin));
+        let worth = alike / (own + alike) * (1.0 - self.far_costs());
+        let leaves = from.is_some_and(|from| self.chance.part() < from.leaves * worth);
         let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
             Some(from) if from.listed.cell == to.listed.cell => 5 * u32::from(leaves),
@@ -593,10 +590,9 @@
             (0..).zip(&self.counts).filter(|(_, count)| count.is_finite() && **count <= fewest + margin);
         // The least of -ln(chance) / weight falls on each host in proportion to its weight.
         let ranked = alike.map(|(h, _): (u32, _)| {
-            let (host, near) = (&self.hosts[h as usize], near(&self.hosts[h as usize]));
-            let mixed = if host.listed.role == Role::Mixed { 0.75 } else { 1.0 };
-            let weight = if near == 0 { mixed } else { host.spare.max(1e-9) };
-            (near, -self.chance.part().ln() / weight, h)
+            let host = &self.hosts[h as usize];
+            let weight = if near(host) == 0 { 1.0 } else { host.spare.max(1e-9) };
+            (near(host), -self.chance.part().ln() / weight, h)
         });
         ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
     }
@@ -608,18 +604,15 @@
     }
 
     /// Whether a read begun now would end in time for a first token at the agreed time. What brings less than
-    /// the most may wait for less: half the agreed time of what brings the most, in proportion to its gain. A
-    /// host that has been quiet may always be tried, so that an old, bad reading cannot shut it for good.
+    /// the most may wait for less: half the agreed time of what brings the most, in proportion to its gain.
     fn read_in_time(&self, t: usize, h: u32) -> bool {
         let (now, task, host) = (self.now, &self.tasks[t], &self.hosts[h as usize]);
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
-        // Not with less than half the agreed time left, as where clients have grown impatient: it would end
-        // too late.
-        let told = self.offerings[task.offering].agreed;
-        let ample = by > 0.5 * told;
-        // One at a time: else hundreds of dispatchers' trials would keep a jam of all.
+        // A trial, so that old, bad readings cannot shut all for good; one at a time, else hundreds of
+        // dispatchers' trials keep a jam, and not for impatient clients, for whom it would end too late.
+        let ample = by > 0.5 * self.offerings[task.offering].agreed;
         let trial = ample && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
         let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
         trial || (in_turn && (self.read_expected(t, h) + self.first_token(h)) * self.caution < by)
@@ -639,10 +632,9 @@
         memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
-    /// A reader, or a mixed host for its share of tasks whole: those whose home it is, while it has no more
-    /// pending than any that write, as near as the writers' pick holds them alike; or where no reader can read
-    /// in time. By counts alone it won't do: where dispatchers have next to nothing pending, a mixed host
-    /// always has the fewest, hundreds of them meet there, and it reads texts that readers have kept.
+    /// A reader, or a mixed host for its share of tasks whole: those whose home it is, while its count is alike
+    /// with the fewest of all that write; or where no reader can read in time. By counts alone dispatchers with
+    /// next to nothing pending would all meet at the few mixed hosts, and these read what readers have kept.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
@@ -651,21 +643,20 @@
             let fewest = self.count(t, Part::Write);
             self.counts[*h as usize] <= fewest + self.alike(t)
         });
-        let late = |h: u32| !self.read_in_time(t, h);
-        let (reads, home) = (reader.filter(|h| !late(*h)), home.filter(|h| !late(*h)));
-        let pick = match (home, reads) {
-            (Some(h), _) => Some((h, Part::Whole)),
-            (None, Some(h)) => Some((h, Part::Read)),
-            (None, None) => whole.filter(|h| !late(*h)).map(|h| (h, Part::Whole)),
-        };
+        let starts = [
+            home.map(|h| (h, Part::Whole)),
+            reader.map(|h| (h, Part::Read)),
+            whole.map(|h| (h, Part::Whole)),
+        ];
+        let pick = starts.into_iter().flatten().find(|(h, _)| self.read_in_time(t, *h));
         if pick.is_none() && (reader.is_some() || whole.is_some()) {
             self.give_up(t);
         }
         pick
     }
 
-    /// Where probes are allowed and reports are old, as with hundreds of dispatchers, the two homes are asked for
-    /// their load before the reader is picked; the answers count like any report.
+    /// Where probes are allowed and reports old, as with hundreds of dispatchers, two homes are asked for their
+    /// load before the reader is picked; the answers count like any report.
     fn ask_ahead(&mut self, t: usize) -> bool {
         if self.tasks[t].asked || !self.terms.flag("allowed.probes") {
             return false;
@@ -673,9 +664,8 @@
         let last = self.last_reader(t);
         let other = self.tasks[t].homes.iter().copied().find(|h| *h != u32::MAX && Some(*h) != last);
         let old = |h: &u32| {
-            let host = &self.hosts[*h as usize];
-            let at = host.to_read.map_or(Duration::ZERO, |(at, _)| at);
-            host.runs() && self.now > at + Duration::from_millis(500)
+            let (host, half) = (&self.hosts[*h as usize], Duration::from_millis(500));
+            host.runs() && host.to_read.is_none_or(|(at, _)| self.now > at + half)
         };
         let ask = [last.filter(old), other.filter(old)];
         // Ten milliseconds: there and back, and a tick.
@@ -722,28 +712,26 @@
         let task = &mut self.tasks[t];
         task.want.keep = task.want.answer.is_none();
         if let Some((h, part)) = pick {
-            // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed
-            // time.
+            // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed time.
             task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed).min(1e6));
             let until = if cancel { stop } else { stop.min(now + 6 * task.patience) };
             task.want.shot = Some((h, part, until));
             task.want.wake = Some(now + task.patience).filter(|at| cancel && *at < stop);
         } else if task.want.answer.is_none() {
-            // Nobody may be sent to for now: cold budgets fill, full hosts empty, credit is earned.
+            // Nobody may be sent to for now: cold budgets fill, credit is earned.
             let wake = now + Duration::from_millis(10);
-            if wake < task.wait_until.min(stop) {
-                task.want.wake = Some(wake);
-            } else {
-                self.give_up(t);
+            if wake >= task.wait_until.min(stop) {
+                return self.give_up(t);
             }
+            task.want.wake = Some(wake);
         }
     }
 
     /// A shot is out. Hosts answer first come first: waiting at one that still works is no worse than anew
-    /// elsewhere. A shot is let go of where the host is gone from the list, where it has answered shots sent
-    /// clearly later, or where it has been silent three times as long while its peers spoke (a long prompt of
-    /// another dispatcher keeps a sound reader silent). Holds against hung, cut off and dead hosts and those
-    /// that lose some of their work; may hurt where traffic is thin or a host does not keep to the order.
+    /// elsewhere. A shot is let go of where its host is gone from the list, has answered shots sent clearly
+    /// later, or has been silent three times as long while peers spoke (another's long prompt keeps a sound
+    /// reader silent). Holds against hung, cut off and dead hosts and those that lose a part or one offering of
+    /// their work; may hurt where traffic is thin or a host does not keep to the order.
     fn watch(&mut self, t: usize, i: usize) {
         let now = self.now;
         let task = &self.tasks[t];
@@ -784,15 +772,14 @@
         let number = t as u32;
         if let Some(bounce) = task.want.answer.take() {
             task.ended = true;
-            // A tenth to three tenths of the agreed time: spread, and soon enough that the repeat may be in
-            // time.
+            // A tenth to three tenths of the agreed time: spread, and the repeat may still be in time.
             let most = self.terms.span("allowed.max_come_back_us").unwrap_or_default();
             let soon = self.offerings[task.offering].agreed
                 * (0.1 + f64::from(self.chance.next() >> 16) / 327_680.0);
             let after = most.min(Duration::from_secs_f64(soon));
             let come_back = self.terms.flag("allowed.come_back").then_some(after);
-            let bounced = Action::Bounce { task: number, come_back };
-            out.push(if bounce { bounced } else { Action::BreakOff { task: number } });
+            let answers = [Action::BreakOff { task: number }, Action::Bounce { task: number, come_back }];
+            out.extend(answers.into_iter().nth(usize::from(bounce)));
         }
         out.extend(task.want.ask.iter().flatten().map(|host| Action::Probe { host: *host }));
         task.want.ask = [None, None];
