--- a/src/rules.rs
+++ b/src/rules.rs
@@ -182,7 +182,14 @@
     fn rank(&mut self, order: &Order, offering: usize) -> f64 {
         let now = self.now;
         let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
-        let rank = self.offerings[offering].gain / most;
+        let mut rank = self.offerings[offering].gain / most;
+        let customer = order.customer.and_then(|customer| self.customers.get_mut(customer as usize));
+        if let Some((rate, allowed)) = customer.filter(|(rate, _)| rate.is_finite()) {
+            let tokens = (allowed.level + (now - allowed.at).as_secs_f64() * *rate).min(2.0 * *rate + 4.0);
+            let within = tokens >= 1.0;
+            allowed.set(now, if within { tokens - 1.0 } else { tokens });
+            rank *= if within { 1.0 } else { self.terms.number("over_share_gain").unwrap_or(1.0) };
+        }
         rank
     }
 
