--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,12 +35,9 @@
 impl Rules {
     pub fn new(seed: u64, terms: &Terms) -> Self {
         let dispatchers = terms.number("dispatchers").unwrap_or(1.0).max(1.0);
-        let told = |i| terms.number(&format!("customers.{i}.quota_per_s")).unwrap_or(f64::INFINITY);
-        let quota = |i| told(i) / dispatchers;
         Rules {
             chance: Chance(seed ^ 0x9e37_79b9_7f4a_7c15).mixed(),
             offerings: (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i)).collect(),
-            customers: (0..terms.entries("customers")).map(|i| (quota(i), Fading::default())).collect(),
             dispatchers,
             zone: terms.number("zone_index").map_or(u32::MAX, |zone| zone as u32),
             // Until prompts have been seen: the order of magnitude at which reading is felt.
@@ -144,7 +141,9 @@
             self.tasks.resize_with(t + 1, Task::default);
         }
         let offering = order.offering.map_or(0, |o| o as usize).min(self.offerings.len() - 1);
-        let rank = self.rank(order, offering);
+        // The gain of a task against the most that any brings.
+        let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
+        let rank = self.offerings[offering].gain / most;
         self.demand.add(now, 30.0, 1.0);
         let homes = self.find_homes(order);
         let told = &self.offerings[offering];
@@ -176,23 +175,6 @@
         order.task
     }
 
-    /// The gain of a task against the most that any brings; what is beyond its customer's share brings less.
-    /// Each dispatcher allows a customer its part of the share, and two seconds' worth at once, as traffic is
-    /// not even.
-    fn rank(&mut self, order: &Order, offering: usize) -> f64 {
-        let now = self.now;
-        let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
-        let mut rank = self.offerings[offering].gain / most;
-        let customer = order.customer.and_then(|customer| self.customers.get_mut(customer as usize));
-        if let Some((rate, allowed)) = customer.filter(|(rate, _)| rate.is_finite()) {
-            let tokens = (allowed.level + (now - allowed.at).as_secs_f64() * *rate).min(2.0 * *rate + 4.0);
-            let within = tokens >= 1.0;
-            allowed.set(now, if within { tokens - 1.0 } else { tokens });
-            rank *= if within { 1.0 } else { self.terms.number("over_share_gain").unwrap_or(1.0) };
-        }
-        rank
-    }
-
     fn started(&mut self, t: u32, shot: u32) -> u32 {
         let now = self.now;
         let Some(task) = self.tasks.get_mut(t as usize) else { return t };
@@ -204,9 +186,9 @@
         host.reading -= shot.net;
         host.overtook = host.overtook.max(shot.sent);
         if shot.part == Part::Write {
-            // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better.
+            // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better. One answer counts
+            // for four times the usual at most: slow hosts don't make every task late.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
-            // One answer counts for no more than four times the usual: slow hosts don't make every task late.
             *usual += 0.15 * (waited.min(4.0 * *usual + 0.1) - *usual);
         } else {
             host.took(now, waited, shot.queue, &mut self.speeds);
@@ -238,9 +220,8 @@
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
         let patient = now >= shot.sent + task.patience;
         if closed.outcome == Outcome::TimedOut && !patient {
-            // A tenth more for each shot that ran out of time, a hundredth less for each that came: settles
-            // where one in ten does. Holds against clients that leave little time and ask again at once, as
-            // what they left goes on; four bounds what a spell of lost hosts can do.
+            // A tenth more for each shot out of time, a hundredth less for each that came: settles at one in ten.
+            // Holds against clients that leave little time and ask again at once, as what they left goes on.
             self.caution = (self.caution * 1.1).min(4.0);
         }
         let host = &mut self.hosts[shot.host as usize];
@@ -295,14 +276,16 @@
         t
     }
 
-    /// Reports in tokens, or in a share of a memory told in tokens; any other field is left out.
+    /// Reports in tokens or in a share of a memory told in tokens, no other. Whole prompts are reported; the part
+    /// of them that reads found not kept is what delays.
     fn reported(&mut self, h: u32, load: &Load) {
         let Some(host) = self.hosts.get_mut(h as usize) else { return };
-        // Whole prompts are reported; the part of them that reads found not kept is what delays.
         let anew = if self.anew.done > 0.0 { self.anew.value() } else { 1.0 };
-        let fields = ["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"];
-        for (field, value) in fields.iter().zip(load.values).take(load.count) {
-            match self.terms.text(field) {
+        for (i, value) in load.values.into_iter().enumerate().take(load.count) {
+            match self
+                .terms
+                .text(["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"][i])
+            {
                 Some("x0") => host.memory_held = value.clamp(0.0, 1.0),
                 Some("x1") => host.to_read = Some((self.now, value.clamp(0.0, 1e6) * 1000.0 * anew)),
                 _ => {}
@@ -359,7 +342,7 @@
         known.or_else(|| last(&self.shared, order.shared))
     }
 
-    /// Highest on each host in proportion to its part of the tasks: weighted rendezvous hashing.
+    /// Weighted rendezvous hashing: highest on each host in proportion to its part of the tasks.
     fn home_rank(key: Key, host: &Host) -> f64 {
         host.part / -Chance(key.mark ^ host.listed.mark).mixed().part().ln().min(-1e-12)
     }
@@ -374,16 +357,11 @@
         let now = self.now;
         let (task, host) = (&self.tasks[t], &self.hosts[h as usize]);
         let told = &self.offerings[task.offering];
-        let further = task.shots.iter().any(|shot| shot.failed);
-        if !host.runs() || (further && host.credit < 1.0) {
-            return false;
-        }
+        let credit = host.credit >= 1.0 || !task.shots.iter().any(|shot| shot.failed);
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
         // A read for it counts as a further shot too, though it has no effect of its own.
-        if !ran.all(|shot| told.again(shot, &self.hosts, Some(host), now)) {
-            return false;
-        }
-        self.cold_budget(h) >= 1.0
+        let again = host.runs() && credit && ran.all(|shot| told.again(shot, &self.hosts, Some(host), now));
+        again && self.cold_budget(h) >= 1.0
     }
 
     /// Shots that a cold host may be sent now. The budget fills at the part of a warm peer's own traffic that
@@ -466,9 +444,9 @@
         }
         // Where states have to leave the cell and links are slow: an agreed time counts two long prompts.
         let moves = 2.0 * host.leaves * self.far_costs();
-        // What a dispatcher has brought a reader of late stands for what all bring it, as they choose alike: one
-        // asked for more than its part has three long prompts more before it for each part. A long prompt each is
-        // taken as asked, for the first ones. Only as far as own counts are thin, and no reader reports tokens.
+        // What a dispatcher brought a reader of late stands for what all did, as they choose alike: three long
+        // prompts for each part beyond its own, a long prompt each taken as asked for the first ones. Only as far
+        // as own counts are thin, and no reader reports tokens.
         let (long, asked) = (self.long_prompt, host.asked.left(self.now, 60.0));
         let thin = 4.0 * long / (4.0 * long + self.asked);
         let over = f64::max((asked + long) / (self.asked + long) - 1.0, 0.0);
@@ -477,31 +455,30 @@
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
     fn count(&mut self, t: usize, part: Part) -> f64 {
-        let (order, output) = (self.tasks[t].order, self.tasks[t].output);
-        let writers_read = self.terms.flag("service.writers_read");
+        let (prompt, output) = (f64::from(self.tasks[t].order.prompt_tokens), self.tasks[t].output);
+        let reads = self.terms.flag("service.writers_read");
         let (mut told, mut asked, mut readers) = ([Ratio::default(); 4], 0.0, 0.0);
         for host in self.hosts.iter().filter(|host| host.runs()) {
             if let Some(tokens) = host.told_of_late(self.now) {
                 told[host.listed.role as usize].add(tokens, 1.0, 1.0);
             }
             if host.listed.role == Role::Reader {
-                asked += host.asked.left(self.now, 60.0)
-                    + if host.to_read.is_some() { f64::INFINITY } else { 0.0 };
-                readers += 1.0;
+                let known = if host.to_read.is_some() { f64::INFINITY } else { 0.0 };
+                (asked, readers) = (asked + host.asked.left(self.now, 60.0) + known, readers + 1.0);
             }
         }
         (self.told, self.asked) = (told, f64::max(asked / f64::max(readers, 1.0), 1.0));
         let mut counts = std::mem::take(&mut self.counts);
         counts.clear();
         for h in 0..self.hosts.len() as u32 {
-            let fit = match (self.hosts[h as usize].listed.role, part) {
-                (Role::Reader, Part::Read) | (Role::Writer | Role::Mixed, Part::Write) => true,
-                (Role::Mixed, Part::Whole) => true,
-                (Role::Writer, Part::Whole) => writers_read,
-                _ => false,
+            let role = self.hosts[h as usize].listed.role;
+            let (fit, net) = match part {
+                Part::Read => (role == Role::Reader, self.net(t, h)),
+                Part::Write => (role == Role::Writer || role == Role::Mixed, prompt + output),
+                Part::Whole => {
+                    (role == Role::Mixed || role == Role::Writer && reads, self.net(t, h) + output)
+                }
             };
-            let net = if part == Part::Write { f64::from(order.prompt_tokens) } else { self.net(t, h) };
-            let net = if part == Part::Read { net } else { net + output };
             let may = fit && self.may_send(t, h);
             counts.push(if may { self.pending(h, part, net) } else { f64::INFINITY });
         }
@@ -571,8 +548,8 @@
         let fewest = self.count(t, part);
         let margin = self.alike(t);
         let from = self.tasks[t].held_by.map(|h| self.hosts[h as usize]);
-        // States leave as far as own counts say nothing (with streams of its own at each writer a dispatcher
-        // sees who is full), and as far as it is worth it: slow links cost more than a full writer near by.
+        // States leave as far as own streams at the writers don't show who is full, and as it is worth it: slow
+        // links cost more than a full writer near by.
         let writers = self.peers(Role::Writer);
         let (own, alike) = writers.fold((0.0, 1.0), |s, (_, host)| (s.0 + host.writing, s.1 + margin));
         let worth = alike / (own + alike) * (1.0 - self.far_costs());
@@ -618,9 +595,9 @@
         trial || (in_turn && (self.read_expected(t, h) + self.first_token(h)) * self.caution < by)
     }
 
-    /// Overload: what the writers have no memory for is bounced before it is read, beyond a customer's share
-    /// first, then what brings less, and a quarter past the full for what brings the most, as charges are
-    /// outputs' ends. Own streams stand for every dispatcher's, unless the hosts report that more is held.
+    /// Overload: what the writers have no memory for is bounced before it is read, a quarter past the full for
+    /// what brings the most, as charges are outputs' ends. Own streams stand for every dispatcher's, unless the
+    /// hosts report that more is held.
     fn room(&self, t: usize) -> bool {
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
         // A host lost without notice counts no longer once it is suspected.
@@ -692,9 +669,8 @@
         let told = &self.offerings[task.offering];
         let mut ran = task.shots.iter().filter(|shot| shot.may_have_run);
         let barred = !ran.all(|shot| told.again(shot, &self.hosts, None, now));
-        let spent =
-            task.shots.len() >= most || now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
-        if spent || barred || (first && !self.room(t)) {
+        let late = now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
+        if late || barred || task.shots.len() >= most || (first && !self.room(t)) {
             return self.give_up(t);
         }
         if first && held.is_none() && self.ask_ahead(t) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -247,8 +247,6 @@
     pub(crate) chance: Chance,
     pub(crate) terms: Terms,
     pub(crate) offerings: Vec<Offering>,
-    /// Each customer's part of its share here, in tasks a second, and what is left of it.
-    pub(crate) customers: Vec<(f64, Fading)>,
     pub(crate) dispatchers: f64,
     pub(crate) zone: u32,
     pub(crate) hosts: Vec<Host>,
