--- a/src/rules.rs
+++ b/src/rules.rs
@@ -502,7 +502,7 @@
     }
 
     /// What all would send a cell's writers if each state stayed in its cell, against what they can take, as
-    /// parts of the fleet; and so for the zone. Where hundreds of dispatchers see a task a second each, own
+    /// parts of the fleet. Where hundreds of dispatchers see a task a second each, own
     /// counts do not tell: racks with many readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
         // A mixed host does a quarter of a writer's part whole, as reads slow its streams, the rest from states.
@@ -524,14 +524,6 @@
             (host.leaves, host.spare) = weighed;
             host.part = if host.listed.role == Role::Mixed { 0.25 * read / taken } else { 1.0 };
         }
-        for i in 0..self.hosts.len() {
-            let zone = self.hosts[i].listed.zone;
-            let inside = self.hosts.iter().filter(|host| host.runs() && host.listed.zone == zone);
-            let (over, spare) = inside.fold((1e-9, 0.0), |(over, spare), host| {
-                (over + reads(host.listed.role) * host.leaves / read, spare + host.spare)
-            });
-            self.hosts[i].leaves_zone = f64::max(over - spare, 0.0) / over;
-        }
     }
 
     /// How far writers' counts may lie apart and count as alike.
@@ -543,7 +535,7 @@
 
     /// The writer with the fewest pending tokens. Within four times this task's own charge, what a few picks
     /// tip, the reader's cell is preferred, as far as its writers can take what all its readers read; then
-    /// cells with writers to spare, by chance in proportion, in its zone first.
+    /// cells with writers to spare, by chance in proportion, those of its zone rather.
     fn pick_writer(&mut self, t: usize, part: Part) -> Option<u32> {
         let fewest = self.count(t, part);
         let margin = self.alike(t);
@@ -554,13 +546,10 @@
         let (own, alike) = writers.fold((0.0, 1.0), |s, (_, host)| (s.0 + host.writing, s.1 + margin));
         let worth = alike / (own + alike) * (1.0 - self.far_costs());
         let leaves = from.is_some_and(|from| self.chance.part() < from.leaves * worth);
-        let leaves_zone = from.is_some_and(|from| self.chance.part() < from.leaves_zone);
         let near = |to: &Host| match &from {
-            Some(from) if from.listed.cell == to.listed.cell => 5 * u32::from(leaves),
-            Some(from) => {
-                let away = (from.listed.zone != to.listed.zone) != leaves_zone;
-                1 + u32::from(away) + 2 * u32::from(to.spare <= 0.0)
-            }
+            Some(from) if from.listed.cell == to.listed.cell => 3 * u32::from(leaves),
+            Some(_) if leaves => 1 + u32::from(to.spare <= 0.0),
+            Some(from) => 1 + u32::from(from.listed.zone != to.listed.zone),
             None => 0,
         };
         let alike =
@@ -568,7 +557,9 @@
         // The least of -ln(chance) / weight falls on each host in proportion to its weight.
         let ranked = alike.map(|(h, _): (u32, _)| {
             let host = &self.hosts[h as usize];
-            let weight = if near(host) == 0 { 1.0 } else { host.spare.max(1e-9) };
+            // Eight: a zone short of writers still sends some away, one that is not few.
+            let zone = from.is_none_or(|from| from.listed.zone == host.listed.zone);
+            let weight = if !leaves { 1.0 } else { host.spare.max(1e-9) * if zone { 8.0 } else { 1.0 } };
             (near(host), -self.chance.part().ln() / weight, h)
         });
         ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,10 +109,8 @@
     pub(crate) heard: Duration,
     /// When the latest shot went that it has answered.
     pub(crate) overtook: Duration,
-    /// Of its cell: the part of its reads that has to leave it, and of these its zone; and what each writer of
-    /// it can take beyond.
+    /// Of its cell: the part of its reads that has to leave it, and what each writer of it can take beyond.
     pub(crate) leaves: f64,
-    pub(crate) leaves_zone: f64,
     pub(crate) spare: f64,
     /// Its part of the tasks as a home of texts, against a reader's.
     pub(crate) part: f64,
