--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,9 +13,9 @@
 /// A step's own cost beside the tokens that it reads: under the smallest chunk that engines read in.
 const STEP: f64 = 300.0;
 
-/// What a ratio keeps of its past with each addition: a dozen tasks settle it, and as many turn it.
+/// What a ratio keeps of its past with each addition: a dozen tasks settle it; of all hosts of a role,
+/// dozens.
 const KEEP: f64 = 0.8;
-/// And one over all hosts of a role: a few answers of each.
 const POOL: f64 = 0.95;
 
 impl Offering {
@@ -43,8 +43,8 @@
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
             caution: 1.0,
-            // As if two prompts had been read at engines' order of magnitude, ten thousand tokens a second: one
-            // full host at the start does not make all seem late.
+            // As if two prompts had been read at engines' order of magnitude, so that one full host at the
+            // start does not make all seem late.
             speeds: [Ratio { spent: 0.4, done: 4000.0 }; 4],
             terms: terms.clone(),
             ..Rules::default()
@@ -103,9 +103,7 @@
         let own = self.terms.number("me").unwrap_or(0.0).max(0.0) / self.dispatchers;
         for line in listed {
             let at = line.host as usize;
-            if self.hosts.len() <= at {
-                self.hosts.resize(at + 1, Host::default());
-            }
+            self.hosts.resize(self.hosts.len().max(at + 1), Host::default());
             let warm_at =
                 line.up_for.filter(|up| *up < warm_up).map_or(Duration::ZERO, |up| now + warm_up - up);
             let host = &mut self.hosts[at];
@@ -137,9 +135,7 @@
     fn take(&mut self, order: &Order) -> u32 {
         let now = self.now;
         let t = order.task as usize;
-        if self.tasks.len() <= t {
-            self.tasks.resize_with(t + 1, Task::default);
-        }
+        self.tasks.resize_with(self.tasks.len().max(t + 1), Task::default);
         let offering = order.offering.map_or(0, |o| o as usize).min(self.offerings.len() - 1);
         // The gain of a task against the most that any brings.
         let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
@@ -186,8 +182,8 @@
         host.reading -= shot.net;
         host.overtook = host.overtook.max(shot.sent);
         if shot.part == Part::Write {
-            // Some seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better. One answer counts
-            // for four times the usual at most: slow hosts don't make every task late.
+            // Seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better. One answer
+            // counts for four times the usual at most: slow hosts don't make every task late.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
             *usual += 0.15 * (waited.min(4.0 * *usual + 0.1) - *usual);
         } else {
@@ -220,8 +216,9 @@
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
         let patient = now >= shot.sent + task.patience;
         if closed.outcome == Outcome::TimedOut && !patient {
-            // A tenth more for each shot out of time, a hundredth less for each that came: settles at one in ten.
-            // Holds against clients that leave little time and ask again at once, as what they left goes on.
+            // A tenth more for each shot out of time, a hundredth less for one that came: settles at one in
+            // ten. Holds against clients that leave little time and ask again at once, as what they left goes
+            // on.
             self.caution = (self.caution * 1.1).min(4.0);
         }
         let host = &mut self.hosts[shot.host as usize];
@@ -240,7 +237,7 @@
             Outcome::Broken | Outcome::NoConnection => 0.6,
             _ => 0.0,
         };
-        // What was not read in time took at least so long, and a full reader has an agreed time's reads before
+        // What was not read in time took at least so long, a full reader has an agreed time's reads before
         // it: else only what came through a jam would count, and the jam would look like none.
         let waited = if closed.outcome == Outcome::Full { told } else { (now - shot.sent).as_secs_f64() };
         let ends =
@@ -253,7 +250,7 @@
         } else if !shot.failed {
             host.answered(now);
         }
-        // A line for the one on call when a host is half suspected (a silence, two errors) and when no longer.
+        // A line for the one on call: a host is half suspected (a silence, two errors), or no longer.
         let doubt = host.doubt(now);
         if if host.suspected { doubt < 0.2 && !shot.failed } else { doubt >= 0.5 } {
             host.suspected = !host.suspected;
@@ -276,8 +273,8 @@
         t
     }
 
-    /// Reports in tokens or in a share of a memory told in tokens, no other. Whole prompts are reported; the part
-    /// of them that reads found not kept is what delays.
+    /// Reports in tokens or in a share of a memory told in tokens, no other. Whole prompts are reported; the
+    /// part of them that reads found not kept is what delays.
     fn reported(&mut self, h: u32, load: &Load) {
         let Some(host) = self.hosts.get_mut(h as usize) else { return };
         let anew = if self.anew.done > 0.0 { self.anew.value() } else { 1.0 };
@@ -366,9 +363,9 @@
 
     /// Shots that a cold host may be sent now. The budget fills at the part of a warm peer's own traffic that
     /// the host can do for certain, and a shot not taken in half the time in which a host falls lapses: no
-    /// burst, and nothing forgotten at a restart is spent twice. All dispatchers' parts add up to a warm peer's
-    /// traffic times that part, well inside the multiple at which the host falls. Each starts at its own place
-    /// between nothing and a shot: else hundreds would all come late and at once.
+    /// burst, and nothing forgotten at a restart is spent twice. All dispatchers' parts add up to a warm
+    /// peer's traffic times that part, well inside the multiple at which the host falls. Each starts at its
+    /// own place between nothing and a shot: else hundreds would all come late and at once.
     fn cold_budget(&mut self, h: u32) -> f64 {
         let now = self.now;
         let host = &self.hosts[h as usize];
@@ -395,8 +392,9 @@
         level
     }
 
-    /// Seconds a token takes at a host, of late. Its own answers are weighed against two long prompts of its
-    /// role's: where a host is heard of twice a minute, that is all there is, and it tells a jam from a slow host.
+    /// Seconds a token takes at a host, of late. Its answers are weighed against two long prompts of its
+    /// role's: where it is heard of twice a minute, that is all there is, and it tells a jam from a slow
+    /// host.
     fn speed(&self, h: u32) -> f64 {
         let (host, weight) = (&self.hosts[h as usize], 2.0 * self.long_prompt);
         let fades = host.fades(self.now);
@@ -404,8 +402,8 @@
         (spent + weight * self.speeds[host.listed.role as usize].value()) / (done + weight)
     }
 
-    /// How many times slower than its role a reader has been of late; 1 within the usual spread. Sound readers
-    /// with long prompts differ by up to 2, so weighed; ten bounds what a reading taken in a jam can do.
+    /// How many times slower than its role a reader has been of late; 1 within the usual spread of sound
+    /// ones, up to 2 so weighed; ten bounds what a reading taken in a jam can do.
     fn slow(&self, h: u32, part: Part) -> f64 {
         let times = self.speed(h) / self.speeds[self.hosts[h as usize].listed.role as usize].value();
         if times < 2.0 || part == Part::Write { 1.0 } else { times.min(10.0) }
@@ -430,8 +428,7 @@
         near + leaves * (far - near)
     }
 
-    /// Pending tokens of a host for a task that would add `net`, with suspicion and slowness charged in
-    /// tokens.
+    /// Pending tokens of a host for a task that would add `net`, suspicion and slowness charged in tokens.
     fn pending(&self, h: u32, part: Part, net: f64) -> f64 {
         let host = &self.hosts[h as usize];
         let streams = if part == Part::Read { 0.0 } else { host.writing };
@@ -444,9 +441,9 @@
         }
         // Where states have to leave the cell and links are slow: an agreed time counts two long prompts.
         let moves = 2.0 * host.leaves * self.far_costs();
-        // What a dispatcher brought a reader of late stands for what all did, as they choose alike: three long
-        // prompts for each part beyond its own, a long prompt each taken as asked for the first ones. Only as far
-        // as own counts are thin, and no reader reports tokens.
+        // What a dispatcher brought a reader of late stands for what all did, as they choose alike: three
+        // long prompts for each part beyond its own, as far as own counts are thin and no reader reports
+        // tokens. A long prompt each is taken as asked, so that the first ones weigh little.
         let (long, asked) = (self.long_prompt, host.asked.left(self.now, 60.0));
         let thin = 4.0 * long / (4.0 * long + self.asked);
         let over = f64::max((asked + long) / (self.asked + long) - 1.0, 0.0);
@@ -495,17 +492,17 @@
         if last.is_some() {
             return last;
         }
-        // Less than a step apart is alike: the own zone, then chance, so that dispatchers don't follow others.
+        // Less than a step apart is alike: own zone, then chance, so that dispatchers don't follow others.
         let alike = (0..).zip(&self.counts).filter(|(_, count)| within(**count, STEP));
         let own = |h: u32| self.zone == self.hosts[h as usize].listed.zone;
         alike.map(|(h, _)| (own(h), self.chance.next(), h)).max().map(|(.., h)| h)
     }
 
-    /// What all would send a cell's writers if each state stayed in its cell, against what they can take, as
-    /// parts of the fleet. Where hundreds of dispatchers see a task a second each, own
-    /// counts do not tell: racks with many readers would choke their few writers, unseen.
+    /// What all would send a cell's writers if each state stayed in its cell, against what they can take.
+    /// Where hundreds of dispatchers see a task a second each, own counts do not tell: racks with many
+    /// readers would choke their few writers, unseen.
     fn weigh_cells(&mut self) {
-        // A mixed host does a quarter of a writer's part whole, as reads slow its streams, the rest from states.
+        // A mixed host does a quarter of a writer's part whole, as reads slow streams, the rest from states.
         let takes = |role| [0.0, 1.0, 0.75, 0.0][role as usize];
         let reads = |role| [1.0, 0.0, 0.0, 0.0][role as usize];
         let sum = |of: fn(Role) -> f64, within: &dyn Fn(&Listed) -> bool| -> f64 {
@@ -540,7 +537,7 @@
         let fewest = self.count(t, part);
         let margin = self.alike(t);
         let from = self.tasks[t].held_by.map(|h| self.hosts[h as usize]);
-        // States leave as far as own streams at the writers don't show who is full, and as it is worth it: slow
+        // As far as own streams at the writers don't show who is full, and as far as it is worth it: slow
         // links cost more than a full writer near by.
         let writers = self.peers(Role::Writer);
         let (own, alike) = writers.fold((0.0, 1.0), |s, (_, host)| (s.0 + host.writing, s.1 + margin));
@@ -567,8 +564,7 @@
 
     /// Seconds until a read begun there now would end, by how long its tokens have taken of late.
     fn read_expected(&self, t: usize, h: u32) -> f64 {
-        let net = self.net(t, h);
-        self.speed(h) * (self.to_read(h) + net + STEP)
+        self.speed(h) * (self.to_read(h) + self.net(t, h) + STEP)
     }
 
     /// Whether a read begun now would end in time for a first token at the agreed time. What brings less than
@@ -586,9 +582,9 @@
         trial || (in_turn && (self.read_expected(t, h) + self.first_token(h)) * self.caution < by)
     }
 
-    /// Overload: what the writers have no memory for is bounced before it is read, a quarter past the full for
-    /// what brings the most, as charges are outputs' ends. Own streams stand for every dispatcher's, unless the
-    /// hosts report that more is held.
+    /// Overload: what the writers have no memory for is bounced unread, a quarter past the full for what
+    /// brings the most, as charges are outputs' ends. Own streams stand for all dispatchers', unless more is
+    /// reported.
     fn room(&self, t: usize) -> bool {
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
         // A host lost without notice counts no longer once it is suspected.
@@ -600,17 +596,16 @@
         memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
 
-    /// A reader, or a mixed host for its share of tasks whole: those whose home it is, while its count is alike
-    /// with the fewest of all that write; or where no reader can read in time. By counts alone dispatchers with
-    /// next to nothing pending would all meet at the few mixed hosts, and these read what readers have kept.
+    /// A reader, or a mixed host for its share of tasks whole: those whose home it is, while its count is
+    /// alike to the fewest of all that write; or where no reader can read in time. By counts alone
+    /// dispatchers with little pending would all meet at the few mixed hosts, and these read what readers
+    /// have kept.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Part)> {
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
         let last = self.last_reader(t).filter(|h| self.hosts[*h as usize].listed.role == Role::Mixed);
-        let home = last.filter(|h| {
-            let fewest = self.count(t, Part::Write);
-            self.counts[*h as usize] <= fewest + self.alike(t)
-        });
+        let alike = |h: &u32| self.count(t, Part::Write) + self.alike(t) >= self.counts[*h as usize];
+        let home = last.filter(alike);
         let starts = [
             home.map(|h| (h, Part::Whole)),
             reader.map(|h| (h, Part::Read)),
@@ -623,8 +618,8 @@
         pick
     }
 
-    /// Where probes are allowed and reports old, as with hundreds of dispatchers, two homes are asked for their
-    /// load before the reader is picked; the answers count like any report.
+    /// Where probes are allowed and reports old, as with hundreds of dispatchers, two homes are asked for
+    /// their load before the reader is picked; the answers count like any report.
     fn ask_ahead(&mut self, t: usize) -> bool {
         if self.tasks[t].asked || !self.terms.flag("allowed.probes") {
             return false;
@@ -637,7 +632,7 @@
         };
         let ask = [last.filter(old), other.filter(old)];
         // Ten milliseconds: there and back, and a tick.
-        let wake = Some(self.now + Duration::from_millis(10)).filter(|_| ask != [None, None]);
+        let wake = (ask != [None, None]).then_some(self.now + Duration::from_millis(10));
         let task = &mut self.tasks[t];
         task.asked = true;
         (task.want.ask, task.want.wake, task.want.keep) = (ask, wake, true);
@@ -679,7 +674,7 @@
         let task = &mut self.tasks[t];
         task.want.keep = task.want.answer.is_none();
         if let Some((h, part)) = pick {
-            // Silence costs a shot, not the task: four times what is expected, or a quarter of the agreed time.
+            // Silence costs a shot, not the task: four times what is expected, a quarter of the agreed time.
             task.patience = Duration::from_secs_f64((4.0 * expected).max(0.25 * agreed).min(1e6));
             let until = if cancel { stop } else { stop.min(now + 6 * task.patience) };
             task.want.shot = Some((h, part, until));
@@ -697,8 +692,8 @@
     /// A shot is out. Hosts answer first come first: waiting at one that still works is no worse than anew
     /// elsewhere. A shot is let go of where its host is gone from the list, has answered shots sent clearly
     /// later, or has been silent three times as long while peers spoke (another's long prompt keeps a sound
-    /// reader silent). Holds against hung, cut off and dead hosts and those that lose a part or one offering of
-    /// their work; may hurt where traffic is thin or a host does not keep to the order.
+    /// reader silent). Holds against hung, cut off and dead hosts and those that lose a part or one offering
+    /// of their work; may hurt where traffic is thin or a host does not keep to the order.
     fn watch(&mut self, t: usize, i: usize) {
         let now = self.now;
         let task = &self.tasks[t];
@@ -715,12 +710,9 @@
         if shot.started.is_some() || shot.cancelled || stays || !self.terms.flag("allowed.cancel") {
             return;
         }
-        if silent || overtaken || gone {
-            want.cancel = Some(i);
-            return;
-        }
         let next = if now < shot.sent + patience { shot.sent + patience } else { now + patience / 2 };
-        want.wake = Some(next).filter(|at| *at < stop);
+        want.cancel = (silent || overtaken || gone).then_some(i);
+        want.wake = Some(next).filter(|at| *at < stop && want.cancel.is_none());
     }
 
     /// The answer goes at once. A bounce says that a repeat is harmless: only where the effect rules agree.
@@ -741,8 +733,7 @@
             task.ended = true;
             // A tenth to three tenths of the agreed time: spread, and the repeat may still be in time.
             let most = self.terms.span("allowed.max_come_back_us").unwrap_or_default();
-            let soon = self.offerings[task.offering].agreed
-                * (0.1 + f64::from(self.chance.next() >> 16) / 327_680.0);
+            let soon = self.offerings[task.offering].agreed * (0.1 + 0.2 * self.chance.part());
             let after = most.min(Duration::from_secs_f64(soon));
             let come_back = self.terms.flag("allowed.come_back").then_some(after);
             let answers = [Action::BreakOff { task: number }, Action::Bounce { task: number, come_back }];
