--- a/src/rules.rs
+++ b/src/rules.rs
@@ -99,13 +99,12 @@
         if whole {
             self.hosts.iter_mut().for_each(|host| host.listed.standing = Standing::Gone);
         }
-        let warm_up = self.terms.span("rules.warm_up_us").unwrap_or_default();
+        let warm = self.terms.span("rules.warm_up_us").unwrap_or_default();
         let own = self.terms.number("me").unwrap_or(0.0).max(0.0) / self.dispatchers;
         for line in listed {
             let at = line.host as usize;
             self.hosts.resize(self.hosts.len().max(at + 1), Host::default());
-            let warm_at =
-                line.up_for.filter(|up| *up < warm_up).map_or(Duration::ZERO, |up| now + warm_up - up);
+            let warm_at = line.up_for.filter(|up| *up < warm).map_or(Duration::ZERO, |up| now + warm - up);
             let host = &mut self.hosts[at];
             // A later start under the same id is a new host: only what is still out there is carried over.
             if host.listed == Listed::default() || warm_at > host.warm_at {
@@ -137,7 +136,6 @@
         let t = order.task as usize;
         self.tasks.resize_with(self.tasks.len().max(t + 1), Task::default);
         let offering = order.offering.map_or(0, |o| o as usize).min(self.offerings.len() - 1);
-        // The gain of a task against the most that any brings.
         let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
         let rank = self.offerings[offering].gain / most;
         self.demand.add(now, 30.0, 1.0);
@@ -176,8 +174,8 @@
         let Some(task) = self.tasks.get_mut(t as usize) else { return t };
         let Some(shot) = task.shots.get_mut(shot as usize).filter(|shot| shot.out) else { return t };
         let from = task.held_by.take().map_or(u32::MAX, |from| self.hosts[from as usize].listed.cell);
-        shot.started = Some(now);
         let waited = (now - shot.sent).as_secs_f64();
+        shot.started = Some(now);
         let host = &mut self.hosts[shot.host as usize];
         host.reading -= shot.net;
         host.overtook = host.overtook.max(shot.sent);
@@ -296,10 +294,10 @@
         let (order, homes) = (&self.tasks[t].order, &self.tasks[t].homes);
         // Kept texts give way to newer ones in time; a minute is many times a session's pause.
         let since = self.now.saturating_sub(Duration::from_secs(60));
-        let shared = kept_by(&self.shared, order.shared, h, since).map(|kept| kept.min(order.shared_tokens));
-        let shared = shared.unwrap_or(if homes.contains(&h) { order.shared_tokens } else { 0 });
-        let session = kept_by(&self.sessions, order.session, h, since).unwrap_or(0);
-        session.min(order.prompt_tokens).max(shared)
+        let thought = if homes.contains(&h) { order.shared_tokens } else { 0 };
+        let shared =
+            kept_by(&self.shared, order.shared, h, since).unwrap_or(thought).min(order.shared_tokens);
+        kept_by(&self.sessions, order.session, h, since).unwrap_or(0).min(order.prompt_tokens).max(shared)
     }
 
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
@@ -344,7 +342,6 @@
         host.part / -Chance(key.mark ^ host.listed.mark).mixed().part().ln().min(-1e-12)
     }
 
-    /// Running hosts of the same role.
     fn peers(&self, role: Role) -> impl Iterator<Item = (u32, &Host)> {
         (0..).zip(&self.hosts).filter(move |(_, host)| host.runs() && host.listed.role == role)
     }
@@ -367,8 +364,7 @@
     /// peer's traffic times that part, well inside the multiple at which the host falls. Each starts at its
     /// own place between nothing and a shot: else hundreds would all come late and at once.
     fn cold_budget(&mut self, h: u32) -> f64 {
-        let now = self.now;
-        let host = &self.hosts[h as usize];
+        let (now, host) = (self.now, &self.hosts[h as usize]);
         if now >= host.warm_at {
             return f64::INFINITY;
         }
@@ -397,9 +393,8 @@
     /// host.
     fn speed(&self, h: u32) -> f64 {
         let (host, weight) = (&self.hosts[h as usize], 2.0 * self.long_prompt);
-        let fades = host.fades(self.now);
-        let (spent, done) = (host.reads.spent * fades, host.reads.done * fades);
-        (spent + weight * self.speeds[host.listed.role as usize].value()) / (done + weight)
+        let (fades, usual) = (host.fades(self.now), self.speeds[host.listed.role as usize].value());
+        (host.reads.spent * fades + weight * usual) / (host.reads.done * fades + weight)
     }
 
     /// How many times slower than its role a reader has been of late; 1 within the usual spread of sound
@@ -422,7 +417,6 @@
         f64::max(far - near, 0.0) / told
     }
 
-    /// Seconds from a read's end there to the first token.
     fn first_token(&self, h: u32) -> f64 {
         let ([near, far], leaves) = (self.first_time, self.hosts[h as usize].leaves);
         near + leaves * (far - near)
@@ -523,7 +517,6 @@
         }
     }
 
-    /// How far writers' counts may lie apart and count as alike.
     fn alike(&self, t: usize) -> f64 {
         let task = &self.tasks[t];
         // Four: with one, three fifths of the tokens left their cell; eight let near writers fill up.
@@ -534,8 +527,7 @@
     /// tip, the reader's cell is preferred, as far as its writers can take what all its readers read; then
     /// cells with writers to spare, by chance in proportion, those of its zone rather.
     fn pick_writer(&mut self, t: usize, part: Part) -> Option<u32> {
-        let fewest = self.count(t, part);
-        let margin = self.alike(t);
+        let (fewest, margin) = (self.count(t, part), self.alike(t));
         let from = self.tasks[t].held_by.map(|h| self.hosts[h as usize]);
         // As far as own streams at the writers don't show who is full, and as far as it is worth it: slow
         // links cost more than a full writer near by.
@@ -562,7 +554,6 @@
         ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
     }
 
-    /// Seconds until a read begun there now would end, by how long its tokens have taken of late.
     fn read_expected(&self, t: usize, h: u32) -> f64 {
         self.speed(h) * (self.to_read(h) + self.net(t, h) + STEP)
     }
@@ -576,8 +567,8 @@
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
         // A trial, so that old, bad readings cannot shut all for good; one at a time, else hundreds of
         // dispatchers' trials keep a jam, and not for impatient clients, for whom it would end too late.
-        let ample = by > 0.5 * self.offerings[task.offering].agreed;
-        let trial = ample && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
+        let trial = by > 0.5 * self.offerings[task.offering].agreed
+            && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
         let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
         trial || (in_turn && (self.read_expected(t, h) + self.first_token(h)) * self.caution < by)
     }
@@ -621,9 +612,6 @@
     /// Where probes are allowed and reports old, as with hundreds of dispatchers, two homes are asked for
     /// their load before the reader is picked; the answers count like any report.
     fn ask_ahead(&mut self, t: usize) -> bool {
-        if self.tasks[t].asked || !self.terms.flag("allowed.probes") {
-            return false;
-        }
         let last = self.last_reader(t);
         let other = self.tasks[t].homes.iter().copied().find(|h| *h != u32::MAX && Some(*h) != last);
         let old = |h: &u32| {
@@ -649,7 +637,7 @@
         if let Some(i) = task.shots.iter().position(|shot| shot.out) {
             return self.watch(t, i);
         }
-        let (held, first, stop) = (task.held_by, task.shots.is_empty(), task.stop);
+        let (held, first, asked, stop) = (task.held_by, task.shots.is_empty(), task.asked, task.stop);
         let agreed = (task.due - task.arrived).as_secs_f64();
         let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
         let told = &self.offerings[task.offering];
@@ -659,7 +647,7 @@
         if late || barred || task.shots.len() >= most || (first && !self.room(t)) {
             return self.give_up(t);
         }
-        if first && held.is_none() && self.ask_ahead(t) {
+        if first && !asked && self.terms.flag("allowed.probes") && self.ask_ahead(t) {
             return;
         }
         let pick = match held {
@@ -695,8 +683,7 @@
     /// reader silent). Holds against hung, cut off and dead hosts and those that lose a part or one offering
     /// of their work; may hurt where traffic is thin or a host does not keep to the order.
     fn watch(&mut self, t: usize, i: usize) {
-        let now = self.now;
-        let task = &self.tasks[t];
+        let (now, task) = (self.now, &self.tasks[t]);
         let (shot, patience, stop) = (task.shots[i], task.patience, task.stop);
         let host = &self.hosts[shot.host as usize];
         let told = &self.offerings[task.offering];
@@ -718,17 +705,15 @@
     /// The answer goes at once. A bounce says that a repeat is harmless: only where the effect rules agree.
     fn give_up(&mut self, t: usize) {
         let task = &mut self.tasks[t];
-        let told = &self.offerings[task.offering];
-        let ran = task.shots.iter().any(|shot| shot.may_have_run);
-        let all = told.effect == "referenced" && told.group == "all";
-        task.want = Wanted { answer: Some(told.effect == "replayable" || all || !ran), ..Wanted::default() };
+        let (told, ran) = (&self.offerings[task.offering], task.shots.iter().any(|shot| shot.may_have_run));
+        let all = told.effect == "replayable" || (told.effect == "referenced" && told.group == "all");
+        task.want = Wanted { answer: Some(all || !ran), ..Wanted::default() };
     }
 
     /// Emits the difference between what the task wants and what is out, held and timed.
     fn settle(&mut self, t: usize, out: &mut Vec<Action>) {
-        let now = self.now;
+        let (now, number) = (self.now, t as u32);
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
-        let number = t as u32;
         if let Some(bounce) = task.want.answer.take() {
             task.ended = true;
             // A tenth to three tenths of the agreed time: spread, and the repeat may still be in time.
@@ -736,11 +721,12 @@
             let soon = self.offerings[task.offering].agreed * (0.1 + 0.2 * self.chance.part());
             let after = most.min(Duration::from_secs_f64(soon));
             let come_back = self.terms.flag("allowed.come_back").then_some(after);
-            let answers = [Action::BreakOff { task: number }, Action::Bounce { task: number, come_back }];
-            out.extend(answers.into_iter().nth(usize::from(bounce)));
+            let bounced = Action::Bounce { task: number, come_back };
+            out.push(if bounce { bounced } else { Action::BreakOff { task: number } });
         }
-        out.extend(task.want.ask.iter().flatten().map(|host| Action::Probe { host: *host }));
-        task.want.ask = [None, None];
+        out.extend(
+            std::mem::take(&mut task.want.ask).into_iter().flatten().map(|host| Action::Probe { host }),
+        );
         if let Some(i) = task.want.cancel {
             task.shots[i].cancelled = true;
             out.push(Action::Cancel { task: number, shot: i as u32 });
