--- a/src/rules.rs
+++ b/src/rules.rs
@@ -440,8 +440,8 @@
         // tokens. A long prompt each is taken as asked, so that the first ones weigh little.
         let (long, asked) = (self.long_prompt, host.asked.left(self.now, 60.0));
         let thin = 4.0 * long / (4.0 * long + self.asked);
-        let over = f64::max((asked + 2.0 * long) / (self.asked + 2.0 * long) - 1.0, 0.0);
-        load + (moves + 8.0 * over * thin) * long
+        let over = f64::max((asked + long) / (self.asked + long) - 1.0, 0.0);
+        load + (moves + 3.0 * over * thin) * long
     }
 
     /// Counts of pending tokens, one a host, without bound where the shot may not go; and the fewest.
