--- a/src/rules.rs
+++ b/src/rules.rs
@@ -654,9 +654,14 @@
             Some(_) => self.pick_writer(t, Part::Write).map(|h| (h, Part::Write)),
             None => self.pick_start(t),
         };
+        // A state that crosses links is overtaken by near ones, and is fetched anew from nothing elsewhere.
+        let cell = |h: u32| self.hosts[h as usize].listed.cell;
         let expected = match pick {
             Some((h, Part::Read | Part::Whole)) => self.read_expected(t, h),
-            _ => self.first_time[0].max(self.first_time[1]),
+            Some((h, _)) if held.is_some_and(|from| cell(from) != cell(h)) => {
+                3.0 * self.first_time[1].max(0.1 * agreed)
+            }
+            _ => self.first_time[0],
         };
         let cancel = self.terms.flag("allowed.cancel");
         let task = &mut self.tasks[t];
