--- a/src/rules.rs
+++ b/src/rules.rs
@@ -659,7 +659,7 @@
         let expected = match pick {
             Some((h, Part::Read | Part::Whole)) => self.read_expected(t, h),
             Some((h, _)) if held.is_some_and(|from| cell(from) != cell(h)) => {
-                3.0 * self.first_time[1].max(0.1 * agreed)
+                6.0 * self.first_time[1].max(0.1 * agreed)
             }
             _ => self.first_time[0],
         };
