--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,7 @@
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
             caution: 1.0,
-            // As if two prompts had been read at engines' order of magnitude, so that one full host at the
-            // start does not make all seem late.
+            // As if two prompts had been read at engines' order of magnitude: one full host makes none late.
             speeds: [Ratio { spent: 0.4, done: 4000.0 }; 4],
             terms: terms.clone(),
             ..Rules::default()
@@ -426,8 +425,7 @@
     fn pending(&self, h: u32, part: Part, net: f64) -> f64 {
         let host = &self.hosts[h as usize];
         let streams = if part == Part::Read { 0.0 } else { host.writing };
-        // Fast failures empty a host. Eight long prompts for a certain suspicion stand in for the work that
-        // it lost, and grow with what is out there on trial.
+        // Fast failures empty a host: eight long prompts for certain suspicion, and more with shots on trial.
         let doubt = host.doubt(self.now) * 8.0 * self.long_prompt * f64::from(1 + host.shots_out);
         let load = (streams + self.to_read(h) + net) * self.slow(h, part) + doubt;
         if part != Part::Read {
@@ -574,8 +572,7 @@
     }
 
     /// Overload: what the writers have no memory for is bounced unread, a quarter past the full for what
-    /// brings the most, as charges are outputs' ends. Own streams stand for all dispatchers', unless more is
-    /// reported.
+    /// brings the most. Own streams stand for all dispatchers', unless more is reported.
     fn room(&self, t: usize) -> bool {
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
         // A host lost without notice counts no longer once it is suspected.
@@ -654,14 +651,12 @@
             Some(_) => self.pick_writer(t, Part::Write).map(|h| (h, Part::Write)),
             None => self.pick_start(t),
         };
-        // A state that crosses links is overtaken by near ones, and is fetched anew from nothing elsewhere.
-        let cell = |h: u32| self.hosts[h as usize].listed.cell;
-        let expected = match pick {
-            Some((h, Part::Read | Part::Whole)) => self.read_expected(t, h),
-            Some((h, _)) if held.is_some_and(|from| cell(from) != cell(h)) => {
-                6.0 * self.first_time[1].max(0.1 * agreed)
-            }
-            _ => self.first_time[0],
+        // A state that crosses links is overtaken by near ones, and would be fetched from nothing elsewhere.
+        let (cell, [near, far]) = (|h: u32| self.hosts[h as usize].listed.cell, self.first_time);
+        let expected = match (pick, held) {
+            (Some((h, Part::Read | Part::Whole)), _) => self.read_expected(t, h),
+            (Some((h, _)), Some(from)) if cell(from) != cell(h) => 6.0 * far.max(0.1 * agreed),
+            _ => near,
         };
         let cancel = self.terms.flag("allowed.cancel");
         let task = &mut self.tasks[t];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -597,11 +597,15 @@
 
 #[test]
 fn a_shot_overtaken_at_its_host_is_let_go_of() {
-    // When a later task's shot went to the same writer; whether the first, not answered, is let go of then.
-    for (later, lets_go) in [(20, false), (200, true)] {
-        let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+    // When a later task's shot, of an offering that the host does answer, went to the same writer; whether the
+    // state crossed links; whether the first, not answered, is let go of then.
+    let other = [("offerings.1.agreed_time_us", "1500000"), ("offerings.1.effect", "replayable")];
+    for (later, crosses, lets_go) in [(20, 0, false), (200, 0, true), (200, 1, false)] {
+        let mut desk = Desk::new(&other, &[(READER, 0), (WRITER, crosses)]);
+        desk.offering = 1;
         desk.order(0, 1, 1, 1000);
         desk.close(10, 1, 0, Read);
+        desk.offering = 0;
         desk.order(later, 2, 2, 1000);
         desk.close(later + 5, 2, 0, Read);
         desk.tell(later + 30, Event::Started { task: 2, shot: 1 });
@@ -609,3 +613,87 @@
         assert_eq!(actions.contains(&Action::Cancel { task: 1, shot: 1 }), lets_go, "{later}: {actions:?}");
     }
 }
+
+#[test]
+fn hundreds_of_dispatchers_neither_starve_a_restarted_rack_nor_push_it_over() {
+    // Hosts that restart at once; a hundred dispatchers that see a task a second each, over three readers.
+    for cold in [&[0u32][..], &[0, 1]] {
+        let mut sends = Vec::new();
+        for me in 0..100u64 {
+            let own = me.to_string();
+            let extra = [("dispatchers", "100"), ("me", own.as_str()), ("rules.fall_us", "1500000")];
+            let mut desk = Desk::new(&extra, &[(READER, 0), (READER, 0), (READER, 1), (WRITER, 0)]);
+            for i in 0..30 {
+                desk.serve(i * 1000 + me * 10, i as u32, (me * 99 + i) as u32, 1000);
+            }
+            for host in cold {
+                desk.list(31_000, *host, Standing::Running, Some(ms(0)));
+            }
+            for i in 31..36u64 {
+                let at = i * 1000 + me * 10;
+                let reader = desk.serve(at, i as u32, (me * 99 + i) as u32, 1000).0;
+                sends.extend(reader.filter(|reader| cold.contains(reader)).map(|reader| (reader, at)));
+            }
+        }
+        for host in cold {
+            let of = |from: u64, to: u64| {
+                sends.iter().filter(|(h, at)| h == host && (from..to).contains(at)).count()
+            };
+            // A warm host gets 33 a second; it stands 2.5 times 0.3 of what it can do for 1.5 s.
+            let most = (31_000..35_000).step_by(100).map(|from| of(from, from + 1500)).max().unwrap();
+            assert!(of(31_000, 36_000) >= 10 && most <= 37, "{cold:?}: {most} in 1.5 s, {sends:?}");
+        }
+    }
+}
+
+#[test]
+fn a_jam_of_all_is_seen_by_what_did_not_come_through() {
+    // How six reads ended, and when; the answer to a task while another, on trial, is out.
+    for (outcome, after, answer) in [(Read, 50, "S"), (TimedOut, 1400, "B"), (Full, 4, "B")] {
+        let mut desk = Desk::new(&[("allowed.max_shots", "1")], &[(READER, 0), (WRITER, 0)]);
+        for task in 0..6 {
+            let at = u64::from(task) * 2000;
+            desk.order(at, task, task, 1000);
+            desk.close(at + after, task, 0, outcome);
+        }
+        desk.order(12_000, 10, 10, 1000);
+        assert_eq!(letters(&desk.order(12_010, 11, 11, 1000)), answer, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_little_time_casts_no_doubt_on_a_host() {
+    // After how long a shot ran out of time; whether its host is suspected.
+    for (after, suspected) in [(150, false), (1500, true)] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0)]);
+        desk.order(0, 1, 1, 1000);
+        let actions = desk.close(after, 1, 0, TimedOut);
+        let noted = actions.iter().any(|action| matches!(action, Action::Note { what: "suspected", .. }));
+        assert_eq!(noted, suspected, "after {after} ms: {actions:?}");
+    }
+}
+
+#[test]
+fn dispatchers_with_nothing_pending_do_not_meet_at_the_mixed_host() {
+    // Allowed to probe; probes before the first shot. Of forty such dispatchers few start at the mixed host.
+    for (probes, asks) in [("false", 0), ("true", 2)] {
+        let mut whole = 0;
+        for text in 0..40u64 {
+            let fleet =
+                [(READER, 0), (READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0), (WRITER, 0), (MIXED, 0)];
+            let mut desk = Desk::new(&[("allowed.probes", probes)], &fleet);
+            let key = |mark: u64| Some(Key { place: 0, turn: 1, mark });
+            let (session, shared, left) = (key(text * 7 + 1), key(text * 31 + 7), ms(4000));
+            let order =
+                Order { session, shared, shared_tokens: 900, prompt_tokens: 1000, left, ..Order::default() };
+            let mut actions = desk.tell(0, Event::Order(order));
+            let asked = actions.iter().filter(|action| matches!(action, Action::Probe { .. })).count();
+            assert_eq!((asked, sent(&actions).is_none()), (asks, asks > 0), "{actions:?}");
+            if asks > 0 {
+                actions = desk.tell(10, Event::Timer { token: 1 });
+            }
+            whole += u32::from(sent(&actions) == Some(6));
+        }
+        assert!((1..=10).contains(&whole), "{whole} of forty");
+    }
+}
