--- a/src/rules.rs
+++ b/src/rules.rs
@@ -594,11 +594,9 @@
         let last = self.last_reader(t).filter(|h| self.hosts[*h as usize].listed.role == Role::Mixed);
         let alike = |h: &u32| self.count(t, Part::Write) + self.alike(t) >= self.counts[*h as usize];
         let home = last.filter(alike);
-        let starts = [
-            home.map(|h| (h, Part::Whole)),
-            reader.map(|h| (h, Part::Read)),
-            whole.map(|h| (h, Part::Whole)),
-        ];
+        // Not where readers are only late: hundreds of dispatchers would carry a jam of theirs over at once.
+        let spare = whole.filter(|_| reader.is_none()).map(|h| (h, Part::Whole));
+        let starts = [home.map(|h| (h, Part::Whole)), reader.map(|h| (h, Part::Read)), spare];
         let pick = starts.into_iter().flatten().find(|(h, _)| self.read_in_time(t, *h));
         if pick.is_none() && (reader.is_some() || whole.is_some()) {
             self.give_up(t);
