--- a/src/rules.rs
+++ b/src/rules.rs
@@ -138,6 +138,7 @@
         let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
         let rank = self.offerings[offering].gain / most;
         self.demand.add(now, 30.0, 1.0);
+        self.unread += 1;
         let homes = self.find_homes(order);
         let told = &self.offerings[offering];
         let prompt = f64::from(order.prompt_tokens);
@@ -563,9 +564,10 @@
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
-        // A trial, so that old, bad readings cannot shut all for good; one at a time, else hundreds of
-        // dispatchers' trials keep a jam, and not for impatient clients, for whom it would end too late.
-        let trial = by > 0.5 * self.offerings[task.offering].agreed
+        // A trial, so that old, bad readings cannot shut all for good: one at a time and for one task in eight, else
+        // hundreds of dispatchers' trials keep a jam; not for impatient clients, for whom it would end too late.
+        let trial = self.unread >= 8
+            && by > 0.5 * self.offerings[task.offering].agreed
             && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
         let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
         trial || (in_turn && (self.read_expected(t, h) + self.first_token(h)) * self.caution < by)
@@ -758,6 +760,7 @@
             ..Shot::default()
         };
         self.tasks[t].shots.push(shot);
+        self.unread = if reads { 0 } else { self.unread };
         let host = &mut self.hosts[h as usize];
         host.shots_out += 1;
         host.reading += shot.net;
--- a/src/state.rs
+++ b/src/state.rs
@@ -258,6 +258,8 @@
     pub(crate) speeds: [Ratio; 4],
     /// Tokens that a reader was asked to read of late, on average; without bound where readers report.
     pub(crate) asked: f64,
+    /// Tasks since a prompt was last sent to be read.
+    pub(crate) unread: u32,
     /// Tasks of the last half minute.
     pub(crate) demand: Fading,
     /// Tokens to read that hosts reported of late, by role.
