--- a/src/rules.rs
+++ b/src/rules.rs
@@ -564,9 +564,9 @@
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
-        // A trial, so that old, bad readings cannot shut all for good: one at a time and for one task in eight, else
+        // A trial, so that old, bad readings cannot shut all for good: one at a time and for one task in twelve, else
         // hundreds of dispatchers' trials keep a jam; not for impatient clients, for whom it would end too late.
-        let trial = self.unread >= 8
+        let trial = self.unread >= 12
             && by > 0.5 * self.offerings[task.offering].agreed
             && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
         let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
