--- a/src/rules.rs
+++ b/src/rules.rs
@@ -788,7 +788,8 @@
     /// A prompt was read here, or not in so long.
     fn took(&mut self, now: Duration, waited: f64, queue: f64, speeds: &mut [Ratio; 4]) {
         self.reads.add(waited, queue + STEP, KEEP * self.fades(now));
-        speeds[self.listed.role as usize].add(waited, queue + STEP, POOL);
+        let usual = &mut speeds[self.listed.role as usize];
+        usual.add(waited.min(4.0 * usual.value() * (queue + STEP)), queue + STEP, POOL);
     }
 
     /// What is left of its answers' times: they are let go of in ten seconds, so that it is tried again.
