--- a/src/rules.rs
+++ b/src/rules.rs
@@ -564,8 +564,8 @@
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
         let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
-        // A trial, so that old, bad readings cannot shut all for good: one at a time and for one task in twelve, else
-        // hundreds of dispatchers' trials keep a jam; not for impatient clients, for whom it would end too late.
+        // Old, bad readings cannot shut all for good: a trial, for one task in twelve and one at a time, else
+        // hundreds of dispatchers' keep a jam; not for impatient clients, for whom it would end too late.
         let trial = self.unread >= 12
             && by > 0.5 * self.offerings[task.offering].agreed
             && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
@@ -594,8 +594,7 @@
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
         let last = self.last_reader(t).filter(|h| self.hosts[*h as usize].listed.role == Role::Mixed);
-        let alike = |h: &u32| self.count(t, Part::Write) + self.alike(t) >= self.counts[*h as usize];
-        let home = last.filter(alike);
+        let home = last.filter(|h| self.count(t, Part::Write) + self.alike(t) >= self.counts[*h as usize]);
         // Not where readers are only late: hundreds of dispatchers would carry a jam of theirs over at once.
         let spare = whole.filter(|_| reader.is_none()).map(|h| (h, Part::Whole));
         let starts = [home.map(|h| (h, Part::Whole)), reader.map(|h| (h, Part::Read)), spare];
@@ -788,8 +787,7 @@
     /// A prompt was read here, or not in so long.
     fn took(&mut self, now: Duration, waited: f64, queue: f64, speeds: &mut [Ratio; 4]) {
         self.reads.add(waited, queue + STEP, KEEP * self.fades(now));
-        let usual = &mut speeds[self.listed.role as usize];
-        usual.add(waited.min(4.0 * usual.value() * (queue + STEP)), queue + STEP, POOL);
+        speeds[self.listed.role as usize].add(waited, queue + STEP, POOL);
     }
 
     /// What is left of its answers' times: they are let go of in ten seconds, so that it is tried again.
