--- a/src/rules.rs
+++ b/src/rules.rs
@@ -183,7 +183,7 @@
             // Seven shots' memory: 0.05 followed lost writers too slowly, 0.3 was no better. One answer
             // counts for four times the usual at most: slow hosts don't make every task late.
             let usual = &mut self.first_time[usize::from(from != host.listed.cell)];
-            *usual += 0.15 * (waited.min(12.0 * *usual + 0.3) - *usual);
+            *usual += 0.15 * (waited.min(4.0 * *usual + 0.1) - *usual);
         } else {
             host.took(now, waited, shot.queue, &mut self.speeds);
         }
