--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,7 +16,7 @@
 /// What a ratio keeps of its past with each addition: a dozen tasks settle it; of all hosts of a role,
 /// dozens.
 const KEEP: f64 = 0.8;
-const POOL: f64 = 0.95;
+const POOL: f64 = 0.9;
 
 impl Offering {
     /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable
