--- a/src/rules.rs
+++ b/src/rules.rs
@@ -532,7 +532,7 @@
         // links cost more than a full writer near by.
         let writers = self.peers(Role::Writer);
         let (own, alike) = writers.fold((0.0, 1.0), |s, (_, host)| (s.0 + host.writing, s.1 + margin));
-        let worth = alike.powi(2) / (own.powi(2) + alike.powi(2)) * (1.0 - self.far_costs());
+        let worth = (alike / (own + alike)).powi(2) * (1.0 - self.far_costs());
         let leaves = from.is_some_and(|from| self.chance.part() < from.leaves * worth);
         let near = |to: &Host| match &from {
             Some(from) if from.listed.cell == to.listed.cell => 3 * u32::from(leaves),
