--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,7 +43,6 @@
             // Until prompts have been seen: the order of magnitude at which reading is felt.
             long_prompt: 2000.0,
             caution: 1.0,
-            trust: Ratio { spent: 2000.0, done: 2000.0 },
             // As if two prompts had been read at engines' order of magnitude: one full host makes none late.
             speeds: [Ratio { spent: 0.4, done: 4000.0 }; 4],
             terms: terms.clone(),
@@ -115,7 +114,7 @@
                     warm_at,
                     // A further shot or two may be needed before a host's first answers are in.
                     credit: 2.0,
-                    trust: Ratio { spent: 0.0, done: if warm_at > now { 2000.0 } else { 0.0 } },
+                    trust: Ratio { spent: if warm_at > now { 0.0 } else { 2000.0 }, done: 2000.0 },
                     heard: now,
                     budget: Fading { level: (own + Chance(line.mark).mixed().part()).fract(), at: now },
                     ..Host::default()
@@ -262,7 +261,6 @@
             if shot.thought_kept > 0 {
                 let found = closed.kept_tokens.min(shot.thought_kept);
                 host.trust.add(f64::from(found), f64::from(shot.thought_kept), KEEP);
-                self.trust.add(f64::from(found), f64::from(shot.thought_kept), POOL);
             }
             note_kept(&mut self.sessions, order.session, shot.host, order.prompt_tokens, now);
             note_kept(&mut self.shared, order.shared, shot.host, order.shared_tokens, now);
@@ -305,9 +303,8 @@
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
     /// late. Holds against flushes and against texts dropped for want of memory.
     fn net(&self, t: usize, h: u32) -> f64 {
-        let (own, prompt) = (self.hosts[h as usize].trust, self.tasks[t].order.prompt_tokens);
-        let trust = (own.spent + 2000.0 * self.trust.value()) / (own.done + 2000.0);
-        f64::from(prompt) - f64::from(self.kept(t, h)) * trust
+        f64::from(self.tasks[t].order.prompt_tokens)
+            - f64::from(self.kept(t, h)) * self.hosts[h as usize].trust.value()
     }
 
     /// A shared text is at home at the hosts that a hash of both ranks highest: dispatchers that cannot talk
--- a/src/state.rs
+++ b/src/state.rs
@@ -268,8 +268,6 @@
     pub(crate) first_time: [f64; 2],
     /// Prompt tokens that were read anew over all prompt tokens.
     pub(crate) anew: Ratio,
-    /// Kept tokens found over those thought so, of all hosts.
-    pub(crate) trust: Ratio,
     /// How much sooner than agreed a task should seem to come, by how many shots ran out of time.
     pub(crate) caution: f64,
 }
