Move streams off writers that are too slow or drain; bear gone hosts' silence briefly

A stream whose pace would break what is agreed, or that would outlast its draining host, looks once for another writer while its own speaks; the decisions count the writer that an answer leaves as past what is alike, else they picked it again. A host gone from the list has 250 ms under a silent stream: the wait is shortened by moving its moment, as a link that timed out is dead (stepped reads broke slow clients' streams: seen red). Tests: both kinds of move and a gone host over sockets, losses inside characters after each of 15 tokens, a stock of 120 tokens emptied by losses and what was read again held to it, the guard against a second final answer (red without it).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -138,8 +138,8 @@
         host: u32,
         what: &'static str,
     },
-    /// The task's answer was broken off after this shot, the first that may have run: who goes on with it says so
-    /// in [`Ask::ran`].
+    /// This is the first shot of the task that may have run, as far as is known: who goes on with its answer says
+    /// so in [`Ask::ran`].
     Ran {
         task: TaskId,
         ran: Ran,
@@ -173,6 +173,17 @@
     held: Option<Held>,
 }
 
+impl Life {
+    /// Notes a shot that may have run; whether it is the first now.
+    fn may_have_run(&mut self, ran: Ran) -> bool {
+        let first = self.ran.is_none_or(|first| ran.sent < first.sent);
+        if first {
+            self.ran = Some(ran);
+        }
+        first
+    }
+}
+
 /// Answers' lengths of one offering as they were produced, fading by answers.
 #[derive(Clone, Copy, Default)]
 struct Lengths {
@@ -410,6 +421,8 @@
             return;
         }
         life.owner = Some(shot);
+        let ran = Ran { host: life.shots[shot as usize].host, sent: life.shots[shot as usize].sent };
+        out.extend(life.may_have_run(ran).then_some(Output::Ran { task, ran }));
         // The writer has fetched it.
         life.held = None;
         self.call_off(task, Some(shot), out);
@@ -429,11 +442,11 @@
         let (ended, owner, offering) = (life.ended, life.owner, life.offering as usize);
         let Some(about) = life.shots.get_mut(shot as usize).filter(|shot| shot.out) else { return };
         about.out = false;
-        let (host, sent) = (about.host, about.sent);
-        if !about.reads && !outcome.never_ran() && life.ran.is_none_or(|ran| sent < ran.sent) {
-            life.ran = Some(Ran { host, sent });
+        let host = about.host;
+        if !about.reads && !outcome.never_ran() {
+            let ran = Ran { host, sent: about.sent };
+            out.extend(life.may_have_run(ran).then_some(Output::Ran { task, ran }));
         }
-        let ran = life.ran;
         match (outcome, end.state) {
             (Outcome::Read, Some(state)) => {
                 life.held = Some(Held { host, state, kept_tokens: end.kept_tokens });
@@ -453,7 +466,6 @@
             }
         } else if ends {
             self.counts.broken_off += 1;
-            out.extend(ran.map(|ran| Output::Ran { task, ran }));
         }
         let closed = Closed {
             task: task.place,
@@ -569,3 +581,36 @@
     }
     Some(terms)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A second final answer, whoever asks for it, is not put out: each way to end a task before each other.
+    #[test]
+    fn one_final_answer_leaves_the_core() {
+        let bounce = |task| Action::Bounce { task, come_back: None };
+        let break_off = |task| Action::BreakOff { task };
+        type Ends = fn(u32) -> Action;
+        let ends: [Ends; 2] = [bounce, break_off];
+        for first in ends {
+            for second in ends {
+                let (mut core, mut out) = (Core::new(1, Terms::default()), Vec::new());
+                let task = core.enter();
+                core.carry(Duration::ZERO, first(task.place), &mut out);
+                assert_eq!(out.len(), 1, "{out:?}");
+                core.carry(Duration::ZERO, second(task.place), &mut out);
+                assert_eq!(out.len(), 1, "{out:?}");
+                assert_eq!(core.counts.bounced + core.counts.broken_off, 1);
+            }
+        }
+        // Nor after its client left or its answer was delivered.
+        for end in ends {
+            let (mut core, mut out) = (Core::new(1, Terms::default()), Vec::new());
+            let task = core.enter();
+            core.on(Duration::ZERO, Input::Gone { task }, &mut out);
+            core.carry(Duration::ZERO, end(task.place), &mut out);
+            assert!(out.is_empty(), "{out:?}");
+        }
+    }
+}
--- a/crates/core/tests/life.rs
+++ b/crates/core/tests/life.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tulipstall::interface::{Outcome, Standing, Term, Terms};
+use tulipstall::interface::{Outcome, Ran, Standing, Term, Terms};
 use tulipstall_core::{Ask, Core, End, Errand, Input, Lines, Output, Row, TaskId, replay};
 
 fn ms(ms: u64) -> Duration {
@@ -95,6 +95,17 @@
     out.iter().filter(|o| matches!(o, Output::Send { .. })).count()
 }
 
+/// Hosts that a shot may have run at first, as told.
+fn ran(out: &[Output]) -> Vec<u32> {
+    out.iter().filter_map(|o| if let Output::Ran { ran, .. } = o { Some(ran.host) } else { None }).collect()
+}
+
+fn out_to(out: &[Output]) -> u32 {
+    out.iter()
+        .find_map(|o| if let Output::Send { host, .. } = o { Some(*host) } else { None })
+        .expect("a send")
+}
+
 fn answers(out: &[Output]) -> usize {
     out.iter().filter(|o| matches!(o, Output::Bounce { .. } | Output::BreakOff { .. })).count()
 }
@@ -107,7 +118,7 @@
         panic!("{out:?}")
     };
     assert_eq!((held.host, held.state.as_str()), (0, "s0"));
-    assert!(play.on(Input::Began { task, shot: 1 }).is_empty());
+    assert_eq!(ran(&play.on(Input::Began { task, shot: 1 })), [out_to(&out)]);
     let out = play.close(task, 1, Outcome::Delivered);
     assert_eq!(out, vec![Output::Forget { task }]);
     let counts = play.core.counts();
@@ -155,7 +166,8 @@
     });
     assert!(out.contains(&Output::Cancel { task, shot: 1 }), "{out:?}");
     // ... its answer begins after all: it is the client's, and no other shot follows.
-    assert!(play.on(Input::Began { task, shot: 1 }).is_empty());
+    let out = play.on(Input::Began { task, shot: 1 });
+    assert!(out.len() == 1 && ran(&out).len() == 1, "{out:?}");
     let mut out = play.wait(ms(10_000));
     out.extend(play.close(task, 1, Outcome::Delivered));
     assert_eq!((sends(&out), answers(&out)), (0, 0), "{out:?}");
@@ -283,3 +295,43 @@
     assert_eq!(third.place, first.place);
     assert_ne!(third.turn, first.turn);
 }
+
+/// Which shot of a task is the first that may have run: reads and refusals are not, an earlier one that ends late is.
+#[test]
+fn the_first_shot_that_may_have_run_is_told() {
+    for (outcome, tells) in [
+        (Outcome::Full, false),
+        (Outcome::NoConnection, false),
+        (Outcome::Moot, false),
+        (Outcome::Error, true),
+        (Outcome::Broken, true),
+        (Outcome::TimedOut, true),
+    ] {
+        let mut play = Play::new("replayable");
+        let (task, first) = play.reading_done();
+        let second = play.close(task, 1, outcome);
+        let told = ran(&second);
+        assert_eq!(told, if tells { vec![out_to(&first)] } else { vec![] }, "{outcome:?}");
+        // The next one is the first only where none was before; the read anew, if any, has none.
+        let mut shot = 2;
+        let mut out = second;
+        if out.iter().any(|o| matches!(o, Output::Send { errand: Errand::Read, .. })) {
+            out = play.close(task, shot, Outcome::Read);
+            assert!(ran(&out).is_empty(), "{outcome:?}");
+            shot += 1;
+        }
+        let begun = play.on(Input::Began { task, shot });
+        assert_eq!(ran(&begun), if tells { vec![] } else { vec![out_to(&out)] }, "{outcome:?}");
+    }
+    // What a task goes on with was before all of its own.
+    let mut play = Play::new("replayable");
+    let task = play.core.enter();
+    let earlier = Some(Ran { host: 1, sent: ms(0) });
+    let ask = Ask { left: ms(4000), prompt_tokens: 100, most_tokens: 50, ran: earlier, ..Ask::default() };
+    play.core.arrive(play.now, task, &ask, &mut play.out);
+    play.out.clear();
+    let out = play.close(task, 0, Outcome::Read);
+    assert_eq!(out_to(&out), 2, "the writer that it leaves is past what is alike");
+    assert!(ran(&play.on(Input::Began { task, shot: 1 })).is_empty());
+    assert!(ran(&play.close(task, 1, Outcome::Broken)).is_empty());
+}
--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -3,6 +3,7 @@
 
 use crate::Shared;
 use crate::owner::Post;
+use slab::Slab;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -12,7 +13,7 @@
 use std::{fs, io, thread};
 use tulipstall::interface::Standing;
 use tulipstall_core::{Input, Row};
-use tulipstall_net::Pool;
+use tulipstall_net::{Link, Pool};
 use tulipstall_settings::{HostLine, HostList, HostStanding, Settings};
 
 /// How often the file is looked at.
@@ -22,6 +23,9 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
+/// How silent the writer of a host that is gone from the list may be: what halts a process for a moment takes.
+pub const GONE: Duration = Duration::from_millis(250);
+
 /// The way to one host.
 pub struct Way {
     pub name: String,
@@ -32,6 +36,19 @@
     gone: AtomicBool,
     /// When it was first told to drain, of this time.
     drains: Mutex<Option<Instant>>,
+    /// Begun answers that it streams.
+    streams: Mutex<Slab<Link>>,
+}
+
+/// Takes a stream off its host's list.
+pub struct Streams<'a>(&'a Way, usize);
+
+impl Drop for Streams<'_> {
+    fn drop(&mut self) {
+        if let Ok(mut streams) = self.0.streams.lock() {
+            streams.try_remove(self.1);
+        }
+    }
 }
 
 impl Way {
@@ -48,9 +65,22 @@
         if self.open() { None } else { self.drains.lock().ok().and_then(|since| *since) }
     }
 
+    /// A begun answer streams here from now on.
+    pub fn streams(&self, link: &Link) -> Option<Streams<'_>> {
+        let key = self.streams.lock().ok()?.insert(link.clone());
+        Some(Streams(self, key))
+    }
+
     fn stands(&self, standing: HostStanding) {
         self.closed.store(standing != HostStanding::Running, Ordering::Release);
         self.gone.store(standing == HostStanding::Gone, Ordering::Release);
+        if standing == HostStanding::Gone
+            && let Ok(streams) = self.streams.lock()
+        {
+            // Who is silent under a stream has so long to say something, not what a listed host has.
+            let by = Instant::now() + GONE;
+            streams.iter().for_each(|(_, link)| link.read_by_at_most(by));
+        }
         if let Ok(mut since) = self.drains.lock() {
             *since = match standing {
                 HostStanding::Running => None,
@@ -150,6 +180,7 @@
                     closed: AtomicBool::new(false),
                     gone: AtomicBool::new(false),
                     drains: Mutex::new(None),
+                    streams: Mutex::default(),
                 })
             });
             way.stands(line.standing);
--- a/crates/dispatcher/src/relay.rs
+++ b/crates/dispatcher/src/relay.rs
@@ -3,6 +3,7 @@
 
 use crate::Shared;
 use crate::front::{Client, Connection, repeatable};
+use crate::hosts::GONE;
 use crate::reply::{self, With};
 use crate::shot::{Begun, give_back};
 use crate::task::{Task, left};
@@ -65,12 +66,10 @@
     headed: bool,
     /// When the first token came, and how long another writer may take to be found; it is tried once.
     first: Option<Instant>,
+    arrived: Instant,
     may_move: bool,
 }
 
-/// How silent a gone host's writer may be: what a machine that halts a process for a moment takes.
-const GONE: Duration = Duration::from_millis(250);
-
 /// Times the usual gap that a move may take, and no less than this: past it the old writer is the better one.
 const MOVE_GAPS: f64 = 4.0;
 const MOVE_LEAST: Duration = Duration::from_millis(100);
@@ -135,6 +134,7 @@
         pings: true,
         headed: false,
         first: None,
+        arrived: task.arrived,
         may_move: true,
         shared,
     };
@@ -294,8 +294,7 @@
     }
 
     fn usual(&self, offering: usize) -> Option<Usual> {
-        let agreed = Duration::from_millis(self.shared.settings.offerings[offering].agreed_time_ms);
-        self.shared.paces.lock().ok()?.usual(offering, agreed)
+        self.shared.paces.lock().ok()?.usual(offering)
     }
 
     /// Relays what one writer says.
@@ -305,6 +304,8 @@
         }
         // The client may have left before its writer could be told by that.
         let gone = self.client.left.load(Ordering::Acquire);
+        let way = begun.way.clone();
+        let _streams = way.streams(&begun.reply.link);
         let ended = if gone { Ended::Client } else { self.run(task, begun, with) };
         if let Ok(mut writer) = self.client.writer.lock() {
             *writer = None;
@@ -369,7 +370,8 @@
                         silence.note(longest);
                     }
                     if let Ok(mut paces) = self.shared.paces.lock() {
-                        paces.note(task.offering, self.so_far.tokens(), first.elapsed());
+                        let waited = first.saturating_duration_since(self.arrived);
+                        paces.note(task.offering, self.so_far.tokens(), waited, first.elapsed());
                     }
                     Ended::Whole
                 } else {
@@ -389,26 +391,17 @@
             }
             bytes.clear();
             let since = Instant::now();
-            let mut until = since + stall;
+            // One that goes while this waits shortens the wait (`Way::stands`).
+            let mut until = since + if begun.way.gone() { GONE.min(stall) } else { stall };
             if !self.form.stream {
                 until = until.min(task.until);
             }
-            let ended = loop {
-                // In steps, so that a host that is gone from the list is noticed under a silent stream.
-                let step = until.min(Instant::now() + GONE);
-                match begun.reply.body(&mut bytes, step) {
-                    Err(Fault::TimedOut) if begun.way.gone() && since.elapsed() >= GONE => {
-                        return Ended::Lost("gone from the list");
-                    }
-                    Err(Fault::TimedOut) if step < until => {}
-                    ended => break ended,
-                }
-            };
-            let ended = match ended {
+            let ended = match begun.reply.body(&mut bytes, until) {
                 Ok(ended) => ended,
                 Err(Fault::TimedOut) if !self.form.stream && left(task.until).is_zero() => {
                     return Ended::Late;
                 }
+                Err(Fault::TimedOut) if begun.way.gone() => return Ended::Lost("gone from the list"),
                 Err(Fault::TimedOut) => return Ended::Lost("silent"),
                 Err(Fault::Rubbish) => return Ended::Lost("rubbish"),
                 Err(_) => return Ended::Lost("broken"),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -217,6 +217,13 @@
         self.inner.read_by.store(until.map_or(NEVER, watch::at), Ordering::Release);
     }
 
+    /// As [`Link::read_by`] where the moment is later, or there is none; nothing while no read is waited for.
+    pub fn read_by_at_most(&self, until: Instant) {
+        let by = watch::at(until);
+        let shorter = |was: u64| (was != NEVER && was > by).then_some(by);
+        let _ = self.inner.read_by.fetch_update(Ordering::AcqRel, Ordering::Acquire, shorter);
+    }
+
     fn fault(&self) -> Fault {
         if self.inner.late.load(Ordering::Acquire) { Fault::TimedOut } else { Fault::Broken }
     }
--- a/crates/recovery/src/pace.rs
+++ b/crates/recovery/src/pace.rs
@@ -38,8 +38,9 @@
     token: Mean,
     /// Tokens of an answer, by offering.
     lengths: Vec<Mean>,
-    /// Seconds from asking for another writer to its first token.
+    /// Seconds from asking for another writer to its first token, and from arrival to first tokens of all.
     gap: Mean,
+    first: Mean,
 }
 
 /// What is usual just now.
@@ -54,8 +55,9 @@
 }
 
 impl Paces {
-    /// An answer ended whole: its tokens, and the time from the first to the last.
-    pub fn note(&mut self, offering: usize, tokens: u32, took: Duration) {
+    /// An answer ended whole: its tokens, the time to the first, and from the first to the last.
+    pub fn note(&mut self, offering: usize, tokens: u32, first: Duration, took: Duration) {
+        self.first.add(first.as_secs_f64());
         self.lengths.resize(self.lengths.len().max(offering + 1), Mean::default());
         self.lengths[offering].add(f64::from(tokens));
         if tokens > SPAN {
@@ -68,10 +70,10 @@
         self.gap.add(gap.as_secs_f64());
     }
 
-    /// Absent while too little is known. `first` stands for the gap while none was seen: the usual time to a first token.
-    pub fn usual(&self, offering: usize, first: Duration) -> Option<Usual> {
+    /// Absent while too little is known. Where no gap was seen the usual time to a first token stands for it.
+    pub fn usual(&self, offering: usize) -> Option<Usual> {
         let length = self.lengths.get(offering).filter(|mean| mean.seen >= KNOWN)?.value;
-        let gap = if self.gap.seen > 0 { self.gap.value } else { first.as_secs_f64() };
+        let gap = if self.gap.seen > 0 { self.gap.value } else { self.first.value };
         (self.token.seen >= KNOWN).then_some(Usual { token: self.token.value, gap, length })
     }
 }
--- a/crates/recovery/tests/pace.rs
+++ b/crates/recovery/tests/pace.rs
@@ -11,7 +11,7 @@
 fn known(tokens: u32, pace: f64) -> Paces {
     let mut paces = Paces::default();
     for _ in 0..30 {
-        paces.note(0, tokens, ms(pace * f64::from(tokens - 1)));
+        paces.note(0, tokens, ms(150.0), ms(pace * f64::from(tokens - 1)));
     }
     paces.went_on(ms(200.0));
     paces
@@ -34,7 +34,7 @@
         ("drains, nearly done", 100, 20.0, 98, 20.0, Some(ms(600.0)), None),
     ];
     for (what, length, usual, has, pace, stays, wanted) in cases {
-        let usual = known(length, usual).usual(0, ms(500.0)).expect("thirty answers are enough");
+        let usual = known(length, usual).usual(0).expect("thirty answers are enough");
         // It has come all its way at this pace.
         let now = ms(100_000.0);
         let first = now - ms(pace * f64::from(has));
@@ -49,15 +49,15 @@
 fn nothing_is_usual_before_twenty_answers() {
     let mut paces = Paces::default();
     for answers in 0..20 {
-        assert_eq!(paces.usual(0, ms(1.0)), None, "{answers}");
-        paces.note(0, 50, ms(980.0));
+        assert_eq!(paces.usual(0), None, "{answers}");
+        paces.note(0, 50, ms(300.0), ms(980.0));
     }
-    let usual = paces.usual(0, ms(300.0)).expect("known");
+    let usual = paces.usual(0).expect("known");
     assert!((usual.token - 0.02).abs() < 1e-9 && (usual.length - 50.0).abs() < 1e-9);
-    assert!((usual.gap - 0.3).abs() < 1e-9, "the agreed time stands for a gap that was never seen");
-    assert_eq!(paces.usual(1, ms(1.0)), None, "another offering's lengths are not known");
+    assert!((usual.gap - 0.3).abs() < 1e-9, "the time to a first token stands for a gap that was never seen");
+    assert_eq!(paces.usual(1), None, "another offering's lengths are not known");
     // Short answers say nothing of a pace.
     let mut short = Paces::default();
-    (0..30).for_each(|_| short.note(0, 5, ms(1.0)));
-    assert_eq!(short.usual(0, ms(1.0)), None);
+    (0..30).for_each(|_| short.note(0, 5, ms(1.0), ms(1.0)));
+    assert_eq!(short.usual(0), None);
 }
--- a/crates/rig/tests/paths.rs
+++ b/crates/rig/tests/paths.rs
@@ -492,6 +492,7 @@
         thread::sleep(ms(100));
     }
     assert!(others.iter().all(|answer| *answer == Answer::Delivered), "{others:?}");
+
     wait_for("the stuck task's end", || answers(&dispatcher.metrics()).get("client left") == Some(&1));
     wait_for("the writer's end", || {
         of(&fleet.log.lines(), "stuck").iter().filter(|what| matches!(what, What::Ended { .. })).count() == 2
@@ -673,3 +674,166 @@
         assert!(ran <= 1, "{mark} ran {ran} times");
     }
 }
+
+/// An answer was begun: also one whose effect was discarded.
+const RUNS: [What; 2] = [What::Ran, What::Repeat];
+
+fn metric(dispatcher: &Dispatcher, name: &str) -> u64 {
+    let metrics = dispatcher.metrics();
+    let line = metrics.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Tokens of two bytes break Thai characters; the writer is lost after each number of them.
+#[test]
+fn a_loss_inside_a_character_neither_breaks_nor_doubles_it() {
+    let _alone = alone();
+    let fleet = fleet(&[host(Role::Read, 0), host(Role::Write, 0), host(Role::Write, 0)]);
+    let mut survived = 0;
+    for after in 1..16 {
+        fleet.hosts[1].set_trouble(Trouble { mid: Some((after, Mid::Reset)), ..Trouble::default() });
+        let dispatcher = start(|settings| settings.seed = Some(u64::from(after)));
+        dispatcher.push(&fleet.list());
+        for stream in [true, false] {
+            let mark = format!("bytes-{after}-{stream}");
+            let mut one = request("chat-reply", &mark);
+            (one.stream, one.user) = (stream, format!("[[bytes]] {}", one.user));
+            let said = asked(&dispatcher, one.clone(), Manner::default());
+            assert_eq!(said.answer, Answer::Delivered, "{mark}");
+            assert_eq!(said.text, whole(&one, 12), "{mark}");
+            assert_eq!(said.usage[2], said.text.len().div_ceil(2) as u64, "{mark}");
+            let ran = of(&fleet.log.lines(), &mark).into_iter().filter(|what| RUNS.contains(what)).count();
+            survived += usize::from(ran > 1);
+        }
+    }
+    assert!(survived >= 8, "only {survived} answers lost a writer: nothing was tried");
+}
+
+/// A writer that speaks too slowly for the agreed pace, or drains and would not be there to the end, is left for a sound
+/// one; a writer of a host that is gone from the list is not waited for as long as others.
+#[test]
+fn a_stream_leaves_a_writer_that_will_not_do() {
+    let _alone = alone();
+    // What befalls the writer that has the stream, what counts it, and the least that must have come of it.
+    for what in ["slow", "drains", "gone"] {
+        let fleet = fleet(&[host(Role::Read, 0), host(Role::Write, 0), host(Role::Write, 0)]);
+        let dispatcher = start(|settings| {
+            settings.times.host_drain_ms = 300;
+            settings.times.writer_stall_ms = 20_000;
+        });
+        dispatcher.push(&fleet.list());
+        let long = |mark: &str| Request::new("chat-reply", &format!("[[len:30]] [[task:{mark}]]"));
+        for i in 0..24 {
+            let said = asked(&dispatcher, long(&format!("{what}-before-{i}")), Manner::default());
+            assert_eq!(said.answer, Answer::Delivered);
+        }
+        assert_eq!(metric(&dispatcher, "tulipstall_streams_moved_total"), 0, "{what}: no false alarm");
+        // The one that gets the stream shows by what it saw; both are slow enough until then to be caught in the middle.
+        let slow = if what == "slow" { 45.0 } else { 12.0 };
+        for host in &fleet.hosts[1..] {
+            host.set_trouble(Trouble { slow, ..Trouble::default() });
+        }
+        let one = long(what);
+        let client = {
+            let (dispatcher, one) = (dispatcher.clone(), one.clone());
+            thread::spawn(move || asked(&dispatcher, one, Manner::default()))
+        };
+        let mut had = None;
+        wait_for("a writer", || {
+            let lines = fleet.log.lines();
+            had = lines
+                .iter()
+                .find(|line| line.mark == what && RUNS.contains(&line.what))
+                .map(|l| l.host.clone());
+            had.is_some()
+        });
+        let had = had.expect("a writer");
+        let (mine, other) =
+            (if had == fleet.hosts[1].name { 1 } else { 2 }, if had == fleet.hosts[1].name { 2 } else { 1 });
+        fleet.hosts[other].set_trouble(Trouble::default());
+        let silent = Trouble { mid: Some((10, Mid::Silent)), ..Trouble::default() };
+        let told = |standing| HostList {
+            version: 2,
+            whole: false,
+            hosts: vec![Fleet::line(&fleet.hosts[mine], standing, None)],
+        };
+        match what {
+            "drains" => dispatcher.push(&told(HostStanding::Draining)),
+            "gone" => {
+                fleet.hosts[mine].set_trouble(silent);
+                wait_for("silence", || fleet.hosts[mine].broke() > 0);
+                dispatcher.push(&told(HostStanding::Gone));
+            }
+            _ => {}
+        }
+        let said = client.join().expect("a client");
+        assert_eq!((&said.answer, said.after), (&Answer::Delivered, 0), "{what}");
+        assert_eq!((said.text, said.usage[2]), (whole(&one, 30), 30), "{what}");
+        let lines = fleet.log.lines();
+        let ran: Vec<&str> = lines
+            .iter()
+            .filter(|line| line.mark == what && RUNS.contains(&line.what))
+            .map(|line| line.host.as_str())
+            .collect();
+        assert_eq!(ran, [had.as_str(), fleet.hosts[other].name.as_str()], "{what}: moved once");
+        assert!(said.took < ms(2500), "{what}: {:?}", said.took);
+        let moved =
+            metric(&dispatcher, &format!("tulipstall_streams_moved_total{{then=\"moved\",why=\"{what}\""));
+        let moved = moved
+            + metric(
+                &dispatcher,
+                &format!("tulipstall_streams_moved_total{{dispatcher=\"test\",then=\"moved\",why=\"{what}\""),
+            );
+        assert_eq!(moved, u64::from(what != "gone"), "{what}: {}", dispatcher.metrics());
+    }
+}
+
+/// Half of the writers lose each answer at its fifth token: what is read again for them stays within the stock and its
+/// share of delivered work, whatever they lose; and with room for all, none is broken off.
+#[test]
+fn lost_answers_cannot_take_more_than_their_stock() {
+    let _alone = alone();
+    for (stock, share) in [(120, 0.02), (100_000, 0.25)] {
+        let fleet = fleet(&[
+            host(Role::Read, 0),
+            host(Role::Read, 1),
+            host(Role::Write, 0),
+            host(Role::Write, 1),
+            host(Role::Write, 0),
+            host(Role::Write, 1),
+        ]);
+        let dispatcher = start(|settings| {
+            (settings.limits.reread_tokens, settings.limits.reread_share) = (stock, share);
+        });
+        dispatcher.push(&fleet.list());
+        for host in &fleet.hosts[2..4] {
+            host.set_trouble(Trouble { mid: Some((5, Mid::Reset)), ..Trouble::default() });
+        }
+        let address = dispatcher.address();
+        let one = |task: usize| Request::new("chat-reply", &format!("ค่าโดยสาร [[len:20]] [[task:{task}.0]]"));
+        let all =
+            Crowd::start(16, 400, move |task| (task, ask(address, &one(task), Manner::default()))).join();
+        let of = |wanted: &Answer| all.iter().filter(|(_, said)| said.answer == *wanted).count() as u64;
+        let (delivered, broken_off) = (of(&Answer::Delivered), of(&Answer::BrokenOff));
+        assert_eq!(delivered + broken_off + of(&Answer::Bounced), 400);
+        for (task, said) in all.iter().filter(|(_, said)| said.answer == Answer::Delivered) {
+            assert_eq!(said.text, whole(&one(*task), 20));
+        }
+        let reread = metric(&dispatcher, "tulipstall_reread_tokens_total");
+        // Prompts are some 20 tokens: each delivered one fills by its share of prompt and answer.
+        let work: u64 = all
+            .iter()
+            .filter(|(_, s)| s.answer == Answer::Delivered)
+            .map(|(_, s)| s.usage.iter().sum::<u64>())
+            .sum();
+        let bound = f64::from(stock) + share * work as f64;
+        assert!(reread as f64 <= bound, "{reread} read again, {bound} allowed");
+        if stock == 120 {
+            let metrics = dispatcher.metrics();
+            assert!(metrics.contains("then=\"no room\""), "the stock was not emptied: {reread} of {bound}");
+            assert!(broken_off >= 1 && reread >= 30, "{broken_off} broken off, {reread} read again");
+        } else {
+            assert_eq!(broken_off, 0, "there was room for all");
+        }
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -479,7 +479,11 @@
                 }
             };
             let may = fit && self.may_send(t, h);
-            counts.push(if may { self.pending(h, part, net) } else { f64::INFINITY });
+            // The writer that an answer is taken from, lost or slow, counts as past what is alike: its own counts
+            // may not tell why.
+            let leaves = part != Part::Read && self.tasks[t].earlier.is_some_and(|shot| shot.host == h);
+            let left = if leaves { 1.5 * self.alike(t) } else { 0.0 };
+            counts.push(if may { self.pending(h, part, net) + left } else { f64::INFINITY });
         }
         self.counts = counts;
         self.counts.iter().copied().fold(f64::INFINITY, f64::min)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -256,6 +256,10 @@
         let out = desk.tell(4000, Event::Order(order(9)));
         assert_eq!(sent(&out), reader, "{effect} {group} {ago}");
         assert_eq!(letters(&out).replace('S', ""), answer, "{effect} {group} {ago}");
+        if effect == "replayable" {
+            // Its answer leaves host 2 for the other writer, though that is far.
+            assert_eq!(sent(&desk.close(4010, 9, 0, Read)), Some(3));
+        }
         if let Some(reader) = reader.filter(|_| group == "cell" && effect == "referenced") {
             // Its writer too; and without one there, a bounce while the window lasts, a break-off after it.
             assert_eq!(reader, 0);
