Bind what goes on after a second loss by the first shot that may have run

losses.rs turned red: a referenced answer lost twice could go on outside its zone, as the second loss no longer knew the first shot. What goes on with an answer hands the first shot on.

--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -129,8 +129,14 @@
         let place = id.place as usize;
         self.tasks.resize_with(self.tasks.len().max(place + 1), || None);
         self.tasks[place] = Some(InHand { id, task, shots: Vec::new() });
-        // What it goes on with has been closed before: that was told by the same coroutine.
-        let ran = self.tasks[place].as_ref().and_then(|held| held.task.goes_on.as_ref()?.ran());
+        // What it goes on with has been closed before: that was told by the same coroutine. It binds whatever goes on
+        // with this one too: a second loss must not lead out of the first one's group.
+        let held = self.tasks[place].as_ref();
+        let ran = held.and_then(|held| {
+            let ran = held.task.goes_on.as_ref()?.ran()?;
+            held.task.set_ran(ran);
+            Some(ran)
+        });
         self.core.arrive(now, id, &Ask { ran, ..ask.clone() }, out);
     }
 
