--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -148,9 +148,13 @@
     pub record: Record,
     pub verdicts: Vec<Verdict>,
     /// Checks beside the rules: what was compared, and what did not fit.
-    pub checks: Vec<(String, Result<(), String>)>,
+    pub checks: Checks,
+    /// What dispatchers counted of streams whose writer they left, for lost or for a better one.
+    pub left: BTreeMap<String, u64>,
 }
 
+type Checks = Vec<(String, Result<(), String>)>;
+
 impl Outcome {
     pub fn good(&self) -> bool {
         self.verdicts.iter().all(|verdict| verdict.breaks.is_empty())
@@ -308,7 +312,7 @@
         let _ = child.kill();
         let _ = child.wait();
     }
-    let killed = result?;
+    let (checks, left) = result?;
     let (tries, told, kills) = lock(&stage.record).clone();
     let record = Record {
         figures: figures(&stage, &rules),
@@ -318,9 +322,8 @@
         kills,
         ended: stage.fleet.log.now(),
     };
-    let checks = killed;
     let verdicts = judge(&record);
-    Ok(Outcome { record, verdicts, checks })
+    Ok(Outcome { record, verdicts, checks, left })
 }
 
 fn free_port() -> io::Result<SocketAddr> {
@@ -371,7 +374,7 @@
     stage: &Arc<Stage>,
     program: &Path,
     children: &mut [Option<Child>],
-) -> io::Result<Vec<(String, Result<(), String>)>> {
+) -> io::Result<(Checks, BTreeMap<String, u64>)> {
     let began = Instant::now();
     for process in &stage.processes {
         tell(stage, process, &stage.fleet.list());
@@ -731,8 +734,8 @@
 }
 
 /// Compares what dispatchers counted with what clients got; those that were killed have forgotten.
-fn reconcile(stage: &Arc<Stage>, killed: &[bool]) -> Vec<(String, Result<(), String>)> {
-    let mut checks = Vec::new();
+fn reconcile(stage: &Arc<Stage>, killed: &[bool]) -> (Checks, BTreeMap<String, u64>) {
+    let (mut checks, mut left) = (Vec::new(), BTreeMap::new());
     let tries = lock(&stage.record).0.clone();
     for (number, process) in stage.processes.iter().enumerate() {
         if killed[number] {
@@ -744,13 +747,15 @@
             checks.push((format!("{} tells its counts", process.name), Err("no answer".to_owned())));
             continue;
         };
-        let counted = answers(&String::from_utf8_lossy(&text));
+        let text = String::from_utf8_lossy(&text);
+        streams_left(&text, &mut left);
+        let counted = answers(&text);
         let own = |answer: &Answer| {
             tries.iter().filter(|one| one.dispatcher == process.name && one.answer == *answer).count() as u64
         };
         let of = |name: &str| counted.get(name).copied().unwrap_or(0);
         let (delivered, bounced) = (own(&Answer::Delivered), own(&Answer::Bounced));
-        let (broken, left) = (own(&Answer::BrokenOff), own(&Answer::Left));
+        let (broken, away) = (own(&Answer::BrokenOff), own(&Answer::Left));
         let all: u64 = counted.values().sum();
         // A client may leave as its answer is under way: then one says left, the other delivered, bounced or
         // broken off; or before its request was whole: then it was never taken.
@@ -758,9 +763,9 @@
             && of("bounced") >= bounced
             && of("broken off") >= broken
             && all >= delivered + bounced + broken
-            && all <= delivered + bounced + broken + left;
+            && all <= delivered + bounced + broken + away;
         let found = format!(
-            "{} counted {counted:?}, clients {delivered} delivered {bounced} bounced {broken} broken off {left} left",
+            "{} counted {counted:?}, clients {delivered} delivered {bounced} bounced {broken} broken off {away} left",
             process.name
         );
         checks.push((
@@ -768,7 +773,20 @@
             if fits { Ok(()) } else { Err(found) },
         ));
     }
-    checks
+    (checks, left)
+}
+
+/// Adds up streams that left their writer, by what became of them, over dispatchers' Prometheus texts.
+fn streams_left(text: &str, sum: &mut BTreeMap<String, u64>) {
+    for line in text.lines().filter(|line| line.starts_with("tulipstall_streams_")) {
+        let label =
+            |name: &str| line.split(&format!("{name}=\"")).nth(1).and_then(|rest| rest.split('"').next());
+        let count = line.rsplit(' ').next().and_then(|count| count.parse::<u64>().ok());
+        if let (Some(then), Some(count)) = (label("then"), count) {
+            let why = label("why").unwrap_or("lost");
+            *sum.entry(format!("{why}: {then}")).or_insert(0) += count;
+        }
+    }
 }
 
 /// Final answers by kind, from Prometheus text.
@@ -813,6 +831,9 @@
             counts[0], counts[1], counts[2], counts[3]
         )?;
     }
+    let begun = tries.iter().filter(|one| one.begun).count();
+    let left: Vec<String> = outcome.left.iter().map(|(what, count)| format!("{what} {count}")).collect();
+    writeln!(out, "{begun} answers begun; writers left: {}", left.join(", "))?;
     let kills = outcome.record.kills.len();
     writeln!(out, "{kills} dispatchers killed, {} lines seen by hosts", outcome.record.seen.len())?;
     let (mut passed, mut failed) = (0, 0);
