Tell the decisions what hosts hold by content, weighed by what reads bore out

The index is fed by the core: reads insert, answers bear out or contradict, a new start or an absence from the list clears a host. The decisions deduct what is told where they deduct their own table's; a last reader that is told to hold nothing of a prompt is no last reader. Without it they decide as before. prefixes.by: content, table or nothing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,12 +9,15 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::sync::Arc;
 use std::time::Duration;
 use tulipstall::Rules;
 use tulipstall::door::Door;
 use tulipstall::interface::{
     Action, Closed, Event, Listed, Load, Order, Outcome, Ran, Role, Standing, Term, Terms,
 };
+use tulipstall_prefix::chain::BLOCK;
+use tulipstall_prefix::{Kept, Prefixes};
 
 /// A task in hand: its place, and which of the place's owners it is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -49,12 +52,16 @@
     pub again: bool,
     /// The first shot that may have run of the answer that this goes on with.
     pub ran: Option<Ran>,
+    /// The prompt as a chain of hashed blocks (`tulipstall_prefix::chain`).
+    pub chain: Arc<[u64]>,
 }
 
 /// How a shot ended, with what its answer told.
 #[derive(Clone, Debug, Default)]
 pub struct End {
     pub kept_tokens: u32,
+    /// Tokens of the prompt as the engine counted them, of which those were kept; 0 where it did not say.
+    pub prompt_tokens: u32,
     /// Tokens that the whole answer had, where it was delivered.
     pub answer_tokens: u32,
     pub load: Option<Load>,
@@ -168,6 +175,11 @@
     /// The shot whose answer the client gets.
     owner: Option<u32>,
     shots: Vec<Shot>,
+    /// The last shot that read and answers.
+    whole: Option<u32>,
+    chain: Arc<[u64]>,
+    /// Blocks of it that hosts are thought to hold.
+    thought: Vec<(u32, u32)>,
     /// The first shot that may have run, of all of the task and of what it goes on with.
     ran: Option<Ran>,
     held: Option<Held>,
@@ -216,6 +228,16 @@
     pub overdue: u64,
 }
 
+/// How it is known which host holds which opening text.
+pub enum Prefix {
+    /// By the decisions' own table of sessions and shared texts.
+    Table,
+    /// By content.
+    Content(Box<Prefixes>),
+    /// Not at all: a baseline.
+    Nothing,
+}
+
 pub struct Core {
     door: Door,
     rules: Rules,
@@ -226,6 +248,10 @@
     /// Places to be free once what was put out is carried out: until then outputs name who had them.
     forgotten: Vec<u32>,
     in_hand: usize,
+    prefixes: Prefix,
+    kept: Vec<Kept>,
+    /// When each host's process began, and whether it is listed.
+    starts: Vec<(Duration, bool)>,
     timers: BinaryHeap<Reverse<(Duration, u64)>>,
     /// When each shot is overdue: place, turn, shot.
     overdue: BinaryHeap<Reverse<(Duration, u32, u32, u32)>>,
@@ -249,6 +275,9 @@
             free: Vec::new(),
             forgotten: Vec::new(),
             in_hand: 0,
+            prefixes: Prefix::Table,
+            kept: Vec::new(),
+            starts: Vec::new(),
             timers: BinaryHeap::new(),
             overdue: BinaryHeap::new(),
             roles: Vec::new(),
@@ -258,6 +287,19 @@
         }
     }
 
+    /// How opening texts are known; before the first event only.
+    pub fn set_prefix(&mut self, prefix: Prefix) {
+        self.prefixes = prefix;
+    }
+
+    /// What is known by content, if it is.
+    pub fn prefixes(&self) -> Option<&Prefixes> {
+        match &self.prefixes {
+            Prefix::Content(prefixes) => Some(prefixes),
+            Prefix::Table | Prefix::Nothing => None,
+        }
+    }
+
     /// As [`Core::new`], with every event and its actions told to a recorder.
     pub fn recorded(seed: u64, terms: Terms, mut recorder: Box<dyn Recorder>) -> Self {
         recorder.start(seed, &terms);
@@ -305,9 +347,10 @@
             self.lives.len() as u32 - 1
         });
         let life = &mut self.lives[place as usize];
-        let mut shots = std::mem::take(&mut life.shots);
+        let (mut shots, mut thought) = (std::mem::take(&mut life.shots), std::mem::take(&mut life.thought));
         shots.clear();
-        *life = Life { turn: life.turn.wrapping_add(1), live: true, shots, ..Life::default() };
+        thought.clear();
+        *life = Life { turn: life.turn.wrapping_add(1), live: true, shots, thought, ..Life::default() };
         self.in_hand += 1;
         TaskId { place, turn: life.turn }
     }
@@ -315,7 +358,9 @@
     pub fn arrive(&mut self, now: Duration, task: TaskId, ask: &Ask, out: &mut Vec<Output>) {
         let Some(life) = self.life(task) else { return };
         (life.offering, life.ran) = (ask.offering, ask.ran);
+        life.chain = ask.chain.clone();
         self.counts.taken += 1;
+        self.tell_kept(now, task, ask, out);
         let about = ask.offering as usize;
         let known = self.lengths.get(about).filter(|lengths| lengths.seen > 0);
         let pace = self.paces.get(about).copied().unwrap_or(0.05);
@@ -336,6 +381,34 @@
         self.tell(now, Event::Order(order), out);
     }
 
+    /// Tells the decisions what hosts hold of a prompt, as far as that is believed.
+    fn tell_kept(&mut self, now: Duration, task: TaskId, ask: &Ask, out: &mut Vec<Output>) {
+        match &mut self.prefixes {
+            Prefix::Table => return,
+            Prefix::Nothing => self.kept.clear(),
+            Prefix::Content(prefixes) => prefixes.ask(now, &ask.chain, &mut self.kept),
+        }
+        let tokens = |kept: &Kept| (f64::from(kept.blocks * BLOCK) * kept.belief) as u32;
+        let told = self.kept.iter().map(|kept| (kept.host, tokens(kept).min(ask.prompt_tokens))).collect();
+        if let Some(life) = self.lives.get_mut(task.place as usize) {
+            life.thought.extend(self.kept.iter().map(|kept| (kept.host, kept.blocks)));
+        }
+        self.tell(now, Event::Kept { kept: told }, out);
+    }
+
+    /// A prompt was read at a host: what was found kept bears out or contradicts what was thought, and it holds all now.
+    fn note_read(&mut self, now: Duration, task: TaskId, host: u32, end: &End) {
+        let Some(life) = self.lives.get(task.place as usize) else { return };
+        let Prefix::Content(prefixes) = &mut self.prefixes else { return };
+        let thought = life.thought.iter().find(|(by, _)| *by == host).map_or(0, |(_, blocks)| *blocks);
+        // The engine's tokens are not ours: its part of the prompt counts.
+        let part = f64::from(end.kept_tokens) / f64::from(end.prompt_tokens.max(1));
+        let found = (part.min(1.0) * life.chain.len() as f64).round() as u32;
+        if end.prompt_tokens > 0 {
+            prefixes.read(now, host, &life.chain, thought, found);
+        }
+    }
+
     pub fn on(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         self.tick(now, out);
         match input {
@@ -384,6 +457,9 @@
     }
 
     fn listed(&mut self, now: Duration, whole: bool, rows: Vec<Row>, out: &mut Vec<Output>) {
+        if whole {
+            self.starts.iter_mut().for_each(|(_, listed)| *listed = false);
+        }
         let mut listed = Vec::with_capacity(rows.len());
         for row in &rows {
             let line = Listed {
@@ -396,11 +472,27 @@
             let Some(line) = self.door.listed(&row.host, &row.kind, &row.zone, line) else { continue };
             self.roles.resize(self.roles.len().max(line.host as usize + 1), Role::Unknown);
             self.roles[line.host as usize] = line.role;
+            self.note_start(now, &line);
             listed.push(line);
         }
         self.tell(now, Event::Hosts { whole, listed }, out);
     }
 
+    /// A host's process that began anew, or may have as the host was gone, holds nothing.
+    fn note_start(&mut self, now: Duration, line: &Listed) {
+        let at = line.host as usize;
+        self.starts.resize(self.starts.len().max(at + 1), (Duration::ZERO, false));
+        let (start, was) = self.starts[at];
+        let started = line.up_for.map_or(Duration::ZERO, |up| now.saturating_sub(up));
+        // A second: what clocks and lists may differ by between two tellings of one start.
+        let anew = started > start + Duration::from_secs(1);
+        let runs = line.standing != Standing::Gone;
+        self.starts[at] = (if anew { started } else { start }, runs);
+        let Prefix::Content(prefixes) = &mut self.prefixes else { return };
+        let most = line.memory_tokens.map(|tokens| (tokens / f64::from(BLOCK)) as u32);
+        prefixes.listed(line.host, most, anew || !runs || !was);
+    }
+
     /// Shots that are out and have not begun are called off, all but one.
     fn call_off(&mut self, task: TaskId, but: Option<u32>, out: &mut Vec<Output>) {
         let Some(life) = self.life(task) else { return };
@@ -442,11 +534,16 @@
         let (ended, owner, offering) = (life.ended, life.owner, life.offering as usize);
         let Some(about) = life.shots.get_mut(shot as usize).filter(|shot| shot.out) else { return };
         about.out = false;
-        let host = about.host;
+        let (host, reads) = (about.host, about.reads);
         if !about.reads && !outcome.never_ran() {
             let ran = Ran { host, sent: about.sent };
             out.extend(life.may_have_run(ran).then_some(Output::Ran { task, ran }));
         }
+        let whole = outcome == Outcome::Delivered && life.whole == Some(shot);
+        if (reads && outcome == Outcome::Read) || whole {
+            self.note_read(now, task, host, &end);
+        }
+        let Some(life) = self.life(task) else { return };
         match (outcome, end.state) {
             (Outcome::Read, Some(state)) => {
                 life.held = Some(Held { host, state, kept_tokens: end.kept_tokens });
@@ -510,6 +607,7 @@
                 };
                 let reads = errand == Errand::Read;
                 life.shots.push(Shot { host, sent: now, reads, out: true, began: false });
+                life.whole = if errand == Errand::Whole { Some(shot) } else { life.whole };
                 self.counts.shots += 1;
                 self.overdue.push(Reverse((until + OVERDUE, place, task.turn, shot)));
                 out.push(Output::Send { task, shot, host, errand, until: until.max(now), held });
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -22,6 +22,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tulipstall_net::Listener;
+use tulipstall_prefix::chain::Key;
 use tulipstall_recovery::Store;
 use tulipstall_recovery::budget::{Budget, Verdict, Wish};
 use tulipstall_recovery::pace::Paces;
@@ -63,6 +64,8 @@
     pub clients: std::sync::Mutex<Vec<std::sync::Weak<front::Client>>>,
     pub serial: AtomicU64,
     pub run: u64,
+    /// Keys the hashes of prompts: nobody outside knows it, and no other process has it.
+    pub key: Key,
     pub load_names: Vec<String>,
     /// Begun answers, held so that another writer can go on.
     pub answers: Arc<Store>,
@@ -142,6 +145,7 @@
             clients: std::sync::Mutex::default(),
             serial: AtomicU64::new(0),
             run,
+            key: key(run),
             load_names: settings.loads.iter().map(|field| field.name.clone()).collect(),
             silence: std::sync::Mutex::default(),
             paces: std::sync::Mutex::default(),
@@ -223,6 +227,15 @@
     }
 }
 
+/// A key from what only this process knows: the operating system's randomness by way of the standard hasher's keys.
+fn key(run: u64) -> Key {
+    use std::hash::{BuildHasher, RandomState};
+    let mut key = [0; 16];
+    key[..8].copy_from_slice(&RandomState::new().hash_one(run).to_le_bytes());
+    key[8..].copy_from_slice(&RandomState::new().hash_one(!run).to_le_bytes());
+    Key(key)
+}
+
 fn signals() -> io::Result<signal_hook::iterator::Signals> {
     signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])
 }
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -12,8 +12,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tulipstall::interface::Outcome;
-use tulipstall_core::{Ask, Core, Input, Lines, Output, TaskId};
+use tulipstall_core::{Ask, Core, Input, Lines, Output, Prefix, TaskId};
 use tulipstall_net::spawn;
+use tulipstall_prefix::Prefixes;
+use tulipstall_settings::PrefixBy;
 
 pub enum Post {
     Arrive(Arc<Task>, Box<Ask>),
@@ -57,10 +59,15 @@
 pub fn start(shared: Arc<Shared>, posts: Receiver<Post>, record_to: Option<PathBuf>) -> io::Result<()> {
     let terms = shared.settings.terms();
     let seed = shared.settings.seed.unwrap_or(shared.run);
-    let core = match record_to {
+    let mut core = match record_to {
         Some(path) => Core::recorded(seed, terms, Box::new(record(path)?)),
         None => Core::new(seed, terms),
     };
+    core.set_prefix(match shared.settings.prefixes.by {
+        PrefixBy::Content => Prefix::Content(Box::new(Prefixes::new(shared.settings.prefixes.bytes))),
+        PrefixBy::Table => Prefix::Table,
+        PrefixBy::Nothing => Prefix::Nothing,
+    });
     let mut owner = Owner { shared, core, tasks: Vec::new(), ways: Vec::new(), out: Vec::new() };
     // A thread: its waits have time-outs, which are not sound in coroutines (docs/coroutines.md).
     std::thread::Builder::new().name("owner".into()).spawn(move || owner.run(&posts))?;
--- a/crates/dispatcher/src/shot.rs
+++ b/crates/dispatcher/src/shot.rs
@@ -212,8 +212,12 @@
     let Some(Piece { state: Some(state), usage, .. }) = piece else {
         return Done::Ended(Outcome::Error, End { load, ..End::default() });
     };
-    let kept_tokens = usage.map_or(0, |usage| usage.cached_tokens);
-    Done::Ended(Outcome::Read, End { kept_tokens, load, state: Some(state.state_id), ..End::default() })
+    let (kept_tokens, prompt_tokens) =
+        usage.map_or((0, 0), |usage| (usage.cached_tokens, usage.prompt_tokens));
+    Done::Ended(
+        Outcome::Read,
+        End { kept_tokens, prompt_tokens, load, state: Some(state.state_id), ..End::default() },
+    )
 }
 
 /// Puts a connection back whose response has ended in good order.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -54,6 +54,9 @@
     /// Engines' load figures: names in the `endpoint-load-metrics` header and what they stand for.
     #[serde(default)]
     pub loads: Vec<LoadField>,
+    /// How it is known which host holds which opening text.
+    #[serde(default)]
+    pub prefixes: Prefixes,
     #[serde(default)]
     pub limits: Limits,
     #[serde(default)]
@@ -212,6 +215,37 @@
     }
 }
 
+/// How it is known which host holds which opening text.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Prefixes {
+    pub by: PrefixBy,
+    /// Memory of the index by content, taken at start.
+    #[schemars(range(min = 100_000))]
+    pub bytes: usize,
+    /// Customers' texts are kept apart: the same text of two of them counts as two.
+    pub customers_apart: bool,
+}
+
+impl Default for Prefixes {
+    fn default() -> Self {
+        // Twelve million tokens of texts held by three hosts each: some sixty hosts' memories.
+        Prefixes { by: PrefixBy::Content, bytes: 64 << 20, customers_apart: true }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum PrefixBy {
+    /// By hashed blocks of the prompt, at any length.
+    #[default]
+    Content,
+    /// By session and shared text, four readers each, for a minute.
+    Table,
+    /// Not at all: for comparisons.
+    Nothing,
+}
+
 /// One figure of the load header.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -173,15 +173,37 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
-    Hosts { whole: bool, listed: Vec<Listed> },
+    Hosts {
+        whole: bool,
+        listed: Vec<Listed>,
+    },
     ListFailed,
+    /// What hosts are thought to hold of the next order's prompt: host and tokens, as far as that is believed. Who is not
+    /// named holds nothing. Without this the decisions go by their own table.
+    Kept {
+        kept: Vec<(u32, u32)>,
+    },
     Order(Order),
-    Started { task: u32, shot: u32 },
+    Started {
+        task: u32,
+        shot: u32,
+    },
     Closed(Closed),
-    Place { task: u32, held: bool },
-    Probed { host: u32, answered: bool, load: Option<Load> },
-    Timer { token: u64 },
-    ClientGone { task: u32 },
+    Place {
+        task: u32,
+        held: bool,
+    },
+    Probed {
+        host: u32,
+        answered: bool,
+        load: Option<Load>,
+    },
+    Timer {
+        token: u64,
+    },
+    ClientGone {
+        task: u32,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -73,6 +73,7 @@
         let task = match event {
             Event::Hosts { whole, listed } => return self.hosts_listed(*whole, listed, out),
             Event::ListFailed => return out.push(Action::AskList),
+            Event::Kept { kept } => return self.told_kept = Some(kept.clone()),
             Event::Probed { host, load: Some(load), .. } => return self.reported(*host, load),
             Event::Place { .. } | Event::Probed { .. } => return,
             Event::Order(order) => self.take(order),
@@ -164,6 +165,7 @@
                 None => f64::from(order.most_tokens) / 2.0,
             },
             shots,
+            told: self.told_kept.take(),
             // An answer gone on with: its lost shot binds what follows like one of its own.
             earlier: order.ran.map(|Ran { host, sent }| Shot {
                 host,
@@ -297,9 +299,12 @@
         }
     }
 
-    /// Tokens of a task's prompt that a host is thought to have kept. A text not known to be kept anywhere is
-    /// thought kept at its homes; the note on the first read corrects that.
+    /// Tokens of a task's prompt that a host is told to hold, else thought to have kept. A text not known to
+    /// be kept anywhere is thought kept at its homes; the note on the first read corrects that.
     fn kept(&self, t: usize, h: u32) -> u32 {
+        if let Some(told) = self.tasks[t].told(h) {
+            return told;
+        }
         let (order, homes) = (&self.tasks[t].order, &self.tasks[t].homes);
         // Kept texts give way to newer ones in time; a minute is many times a session's pause.
         let since = self.now.saturating_sub(Duration::from_secs(60));
@@ -312,8 +317,10 @@
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
     /// late. Holds against flushes and against texts dropped for want of memory.
     fn net(&self, t: usize, h: u32) -> f64 {
-        f64::from(self.tasks[t].order.prompt_tokens)
-            - f64::from(self.kept(t, h)) * self.hosts[h as usize].trust.value()
+        // What is told has been weighed by what reads bore out.
+        let told = self.tasks[t].told.is_some();
+        let trust = if told { 1.0 } else { self.hosts[h as usize].trust.value() };
+        f64::from(self.tasks[t].order.prompt_tokens) - f64::from(self.kept(t, h)) * trust
     }
 
     /// A shared text is at home at the hosts that a hash of both ranks highest: dispatchers that cannot talk
@@ -333,7 +340,9 @@
     /// of the session ranks highest, in the own zone first, stands in for it.
     fn last_reader(&self, t: usize) -> Option<u32> {
         let (task, order) = (&self.tasks[t], &self.tasks[t].order);
-        let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last;
+        // One that is told to hold nothing of it has lost it: no reason to go back.
+        let holds = |h: &u32| task.told(*h) != Some(0);
+        let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last.filter(holds);
         let home = |key: Key| {
             let rank = |h: u32| {
                 let host = &self.hosts[h as usize];
@@ -479,8 +488,8 @@
                 }
             };
             let may = fit && self.may_send(t, h);
-            // The writer that an answer is taken from, lost or slow, counts as past what is alike: its own counts
-            // may not tell why.
+            // The writer that an answer is taken from, lost or slow, counts as past what is alike: its own
+            // counts may not tell why.
             let leaves = part != Part::Read && self.tasks[t].earlier.is_some_and(|shot| shot.host == h);
             let left = if leaves { 1.5 * self.alike(t) } else { 0.0 };
             counts.push(if may { self.pending(h, part, net) + left } else { f64::INFINITY });
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,8 @@
     pub(crate) shots: Vec<Shot>,
     /// Of what this task goes on with: the first that may have run.
     pub(crate) earlier: Option<Shot>,
+    /// Hosts and the tokens of the prompt that they are told to hold.
+    pub(crate) told: Option<Vec<(u32, u32)>>,
     pub(crate) patience: Duration,
     pub(crate) ended: bool,
     pub(crate) asked: bool,
@@ -183,6 +185,12 @@
 }
 
 impl Task {
+    /// Tokens that a host is told to hold of the prompt; absent where nothing was told.
+    pub(crate) fn told(&self, h: u32) -> Option<u32> {
+        let told = self.told.as_ref()?.iter().find(|(host, _)| *host == h);
+        Some(told.map_or(0, |(_, tokens)| *tokens).min(self.order.prompt_tokens))
+    }
+
     /// All shots that may have run, the earlier one first.
     pub(crate) fn ran(&self) -> impl Iterator<Item = &Shot> {
         self.earlier.iter().chain(&self.shots).filter(|shot| shot.may_have_run)
@@ -258,6 +266,8 @@
     pub(crate) zone: u32,
     pub(crate) hosts: Vec<Host>,
     pub(crate) tasks: Vec<Task>,
+    /// What was told for the next order.
+    pub(crate) told_kept: Option<Vec<(u32, u32)>>,
     pub(crate) sessions: Vec<Kept>,
     pub(crate) shared: Vec<Kept>,
     /// Scratch for one pick.
