--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tulipstall_dispatcher::{Dispatcher, set_up_coroutines};
+use tulipstall_rig::vary::Vary;
 use tulipstall_settings::Settings;
 
 /// A router for language-model serving with reading and writing on separate engines.
@@ -73,6 +74,12 @@
         /// Write all that crossed the sockets to this file as JSON.
         #[arg(long)]
         traffic: Option<PathBuf>,
+        /// Play it once with each value of a setting and tell each in windows: `/prefixes/by=content,table,nothing`.
+        #[arg(long)]
+        vary: Option<Vary>,
+        /// Milliseconds of a window.
+        #[arg(long, default_value_t = 2000, requires = "vary")]
+        window_ms: u64,
     },
     /// Put an open-loop load on a dispatcher; latency counts from when each request was due.
     Load {
@@ -184,11 +191,27 @@
     fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
 }
 
-fn day(file: &Path, folder: Option<PathBuf>, traffic: Option<PathBuf>) -> Result<(), String> {
+fn day(
+    file: &Path,
+    folder: Option<PathBuf>,
+    traffic: Option<PathBuf>,
+    vary: Option<(Vary, u64)>,
+) -> Result<(), String> {
     use tulipstall_rig::day;
     let script = day::Day::read(file)?;
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
     let own = std::env::temp_dir().join(format!("tulipstall-day-{}", std::process::id()));
+    if let Some((vary, window_ms)) = vary {
+        let folder = folder.as_ref().unwrap_or(&own);
+        let mut out = io::stdout().lock();
+        let good = tulipstall_rig::vary::run(&script, &vary, window_ms, &program, folder, &mut out);
+        let _ = fs::remove_dir_all(&own);
+        return match good {
+            Ok(true) => Ok(()),
+            Ok(false) => Err("a rule or a check failed".to_owned()),
+            Err(error) => Err(error.to_string()),
+        };
+    }
     let outcome = day::play(&script, &program, folder.as_ref().unwrap_or(&own));
     if folder.is_none() {
         let _ = fs::remove_dir_all(&own);
@@ -219,9 +242,9 @@
             let done = tulipstall_rig::demo::run(&mut out).and_then(|()| out.flush());
             done.map_err(|error| error.to_string())
         }
-        Command::Day { file, folder, traffic } => {
+        Command::Day { file, folder, traffic, vary, window_ms } => {
             set_up_coroutines(None, 256 << 10);
-            day(&file, folder, traffic)
+            day(&file, folder, traffic, vary.map(|vary| (vary, window_ms)))
         }
         Command::Load { address, model, per_second, seconds, tokens, prompt_bytes, plain, key } => {
             use tulipstall_rig::load::{Load, Target, run};
--- a/crates/judge/src/record.rs
+++ b/crates/judge/src/record.rs
@@ -73,8 +73,15 @@
     pub stop: u64,
     pub ended: u64,
     pub answer: Answer,
-    /// A first token had come.
+    /// A first token had come, after this long.
     pub begun: bool,
+    #[serde(default)]
+    pub first: u64,
+    /// Prompt tokens, and those found kept, as the answer told them.
+    #[serde(default)]
+    pub prompt_tokens: u64,
+    #[serde(default)]
+    pub kept_tokens: u64,
     /// It was told by header to ask again.
     pub told_to_retry: bool,
     /// What came is a start of the right answer, the whole of it where delivered.
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -64,6 +64,8 @@
     /// Shared texts, and bytes of each.
     pub shared_texts: u32,
     pub shared_bytes: u32,
+    /// The shared text stands in the question and is not marked as shared.
+    pub unmarked: bool,
     pub answer_tokens: [u32; 2],
     /// The part that is asked for as a stream.
     pub streamed: f64,
@@ -82,6 +84,7 @@
             prompt_bytes: [200, 2000],
             shared_texts: 4,
             shared_bytes: 4000,
+            unmarked: false,
             answer_tokens: [8, 40],
             streamed: 0.8,
             leave: 0.03,
@@ -630,6 +633,7 @@
     retries: u32,
     dispatcher: usize,
     time_part: f64,
+    unmarked: bool,
 }
 
 impl Drawn {
@@ -652,6 +656,7 @@
             offering: load.offering,
             shared: shared.repeat((load.shared_bytes as usize / shared.len()).max(1)),
             user: filler.repeat(bytes / filler.len() + 1),
+            unmarked: load.unmarked,
             tokens,
             stream: chance.random::<f64>() < load.streamed,
             leaves: (chance.random::<f64>() < load.leave)
@@ -677,7 +682,11 @@
         if offering.effect == settings::Effect::Referenced {
             request = request.with("idempotency-key", format!("mark-{}", drawn.task));
         }
-        request.system = drawn.shared.clone();
+        if drawn.unmarked {
+            request.user = format!("{}{}", drawn.shared, request.user);
+        } else {
+            request.system = drawn.shared.clone();
+        }
         request.stream = drawn.stream;
         request.most_tokens = offering.most_tokens.min(1024);
         let at = stage.fleet.log.now();
@@ -696,6 +705,9 @@
             stop: stop.as_micros() as u64,
             ended,
             begun: said.first_token.is_some(),
+            first: said.first_token.map_or(0, |first| first.as_micros() as u64),
+            prompt_tokens: said.usage[0] + said.usage[1],
+            kept_tokens: said.usage[1],
             told_to_retry: said.should_retry == Some(true),
             text_right: right(&request, &said, drawn.tokens),
             after: said.after,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod demo;
 pub mod fleet;
 pub mod load;
+pub mod vary;
--- /dev/null
+++ b/crates/rig/src/vary.rs
@@ -0,0 +1,176 @@
+//! One day played with each of several settings, told in windows of time: what was found kept, what was read anew, how long
+//! first tokens took. The same seed gives each the same tasks at the same moments.
+
+use crate::day::{Day, Outcome, play};
+use serde_json::Value;
+use std::io::{self, Write};
+use std::path::Path;
+use tulipstall_judge::{Answer, Try};
+
+/// A setting and the values to try.
+#[derive(Clone, Debug)]
+pub struct Vary {
+    /// A JSON pointer into the dispatchers' settings.
+    pub pointer: String,
+    pub levels: Vec<Value>,
+}
+
+impl std::str::FromStr for Vary {
+    type Err = String;
+
+    /// `/pointer=level,level`; a level that is no JSON is text.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (pointer, levels) = text.split_once('=').ok_or("/POINTER=LEVEL,LEVEL is wanted")?;
+        if !pointer.starts_with('/') || pointer.len() < 2 {
+            return Err(format!("{pointer}: a pointer begins with /"));
+        }
+        let level = |level: &str| serde_json::from_str(level).unwrap_or_else(|_| Value::from(level));
+        Ok(Vary { pointer: pointer.to_owned(), levels: levels.split(',').map(level).collect() })
+    }
+}
+
+/// Puts a value where a pointer says, with the objects on the way there.
+fn put(settings: &mut Value, pointer: &str, level: &Value) {
+    let mut at = settings;
+    for name in pointer[1..].split('/') {
+        if !at.is_object() {
+            *at = Value::Object(serde_json::Map::new());
+        }
+        at = &mut at[name];
+    }
+    *at = level.clone();
+}
+
+/// What one window of a day came to.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Window {
+    pub tries: usize,
+    pub delivered: usize,
+    pub bounced: usize,
+    pub broken_off: usize,
+    pub prompt_tokens: u64,
+    pub kept_tokens: u64,
+    /// Microseconds.
+    pub first_p50: u64,
+    pub first_p99: u64,
+}
+
+/// Tries by when they came, in windows of so many microseconds.
+pub fn windows(tries: &[Try], span: u64) -> Vec<Window> {
+    let last = tries.iter().map(|one| one.at / span.max(1)).max().unwrap_or(0) as usize;
+    let mut firsts: Vec<Vec<u64>> = vec![Vec::new(); last + 1];
+    let mut windows = vec![Window::default(); last + 1];
+    for one in tries {
+        let at = (one.at / span.max(1)) as usize;
+        let window = &mut windows[at];
+        window.tries += 1;
+        window.delivered += usize::from(one.answer == Answer::Delivered);
+        window.bounced += usize::from(one.answer == Answer::Bounced);
+        window.broken_off += usize::from(one.answer == Answer::BrokenOff);
+        window.prompt_tokens += one.prompt_tokens;
+        window.kept_tokens += one.kept_tokens;
+        // A plain answer's first token comes with its last.
+        if one.begun {
+            firsts[at].push(one.first);
+        }
+    }
+    for (window, firsts) in windows.iter_mut().zip(&mut firsts) {
+        firsts.sort_unstable();
+        let at = |part: usize| firsts.get(firsts.len().saturating_sub(1) * part / 100).copied().unwrap_or(0);
+        (window.first_p50, window.first_p99) = (at(50), at(99));
+    }
+    windows
+}
+
+/// Plays the day at each level and prints its windows; whether every rule was kept at all of them.
+pub fn run(
+    day: &Day,
+    vary: &Vary,
+    span_ms: u64,
+    program: &Path,
+    folder: &Path,
+    out: &mut impl Write,
+) -> io::Result<bool> {
+    let mut good = true;
+    writeln!(out, "{}", day.about)?;
+    for level in &vary.levels {
+        let mut day = day.clone();
+        put(&mut day.settings, &vary.pointer, level);
+        let outcome: Outcome = play(&day, program, folder)?;
+        good &= outcome.good();
+        writeln!(
+            out,
+            "\n{} = {level}{}",
+            vary.pointer,
+            if outcome.good() { "" } else { ": A RULE OR A CHECK FAILED" }
+        )?;
+        writeln!(
+            out,
+            "{:>7}{:>7}{:>11}{:>9}{:>12}{:>8}{:>12}{:>10}{:>10}",
+            "from s",
+            "tries",
+            "delivered",
+            "bounced",
+            "broken off",
+            "kept",
+            "read anew",
+            "first p50",
+            "p99 ms"
+        )?;
+        for (i, window) in windows(&outcome.record.tries, span_ms * 1000).iter().enumerate() {
+            let part = window.kept_tokens as f64 / window.prompt_tokens.max(1) as f64;
+            writeln!(
+                out,
+                "{:>7.1}{:>7}{:>11}{:>9}{:>12}{:>7.1}%{:>12}{:>10.1}{:>10.1}",
+                i as f64 * span_ms as f64 / 1e3,
+                window.tries,
+                window.delivered,
+                window.bounced,
+                window.broken_off,
+                part * 100.0,
+                window.prompt_tokens - window.kept_tokens.min(window.prompt_tokens),
+                window.first_p50 as f64 / 1e3,
+                window.first_p99 as f64 / 1e3,
+            )?;
+        }
+    }
+    Ok(good)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn levels_are_put_where_they_belong() {
+        let cases = [
+            (
+                "/a/b=1,true,x",
+                json!({"a": {"c": 2}}),
+                vec![
+                    json!({"a": {"b": 1, "c": 2}}),
+                    json!({"a": {"b": true, "c": 2}}),
+                    json!({"a": {"b": "x", "c": 2}}),
+                ],
+            ),
+            ("/new=0.5", json!({}), vec![json!({"new": 0.5})]),
+        ];
+        for (text, settings, wanted) in cases {
+            let vary: Vary = text.parse().expect("a variation");
+            let put_all: Vec<Value> = vary
+                .levels
+                .iter()
+                .map(|level| {
+                    let mut settings = settings.clone();
+                    put(&mut settings, &vary.pointer, level);
+                    settings
+                })
+                .collect();
+            assert_eq!(put_all, wanted, "{text}");
+        }
+        for bad in ["", "a=1", "/=1", "/a"] {
+            assert!(bad.parse::<Vary>().is_err(), "{bad}");
+        }
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -302,13 +302,13 @@
     /// Tokens of a task's prompt that a host is told to hold, else thought to have kept. A text not known to
     /// be kept anywhere is thought kept at its homes; the note on the first read corrects that.
     fn kept(&self, t: usize, h: u32) -> u32 {
+        let (order, homes) = (&self.tasks[t].order, &self.tasks[t].homes);
+        let thought = if homes.contains(&h) { order.shared_tokens } else { 0 };
         if let Some(told) = self.tasks[t].told(h) {
-            return told;
+            return if self.tasks[t].known() { told } else { told.max(thought) };
         }
-        let (order, homes) = (&self.tasks[t].order, &self.tasks[t].homes);
         // Kept texts give way to newer ones in time; a minute is many times a session's pause.
         let since = self.now.saturating_sub(Duration::from_secs(60));
-        let thought = if homes.contains(&h) { order.shared_tokens } else { 0 };
         let shared =
             kept_by(&self.shared, order.shared, h, since).unwrap_or(thought).min(order.shared_tokens);
         kept_by(&self.sessions, order.session, h, since).unwrap_or(0).min(order.prompt_tokens).max(shared)
@@ -317,10 +317,11 @@
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
     /// late. Holds against flushes and against texts dropped for want of memory.
     fn net(&self, t: usize, h: u32) -> f64 {
+        let kept = self.kept(t, h);
         // What is told has been weighed by what reads bore out.
-        let told = self.tasks[t].told.is_some();
+        let told = self.tasks[t].told(h) == Some(kept);
         let trust = if told { 1.0 } else { self.hosts[h as usize].trust.value() };
-        f64::from(self.tasks[t].order.prompt_tokens) - f64::from(self.kept(t, h)) * trust
+        f64::from(self.tasks[t].order.prompt_tokens) - f64::from(kept) * trust
     }
 
     /// A shared text is at home at the hosts that a hash of both ranks highest: dispatchers that cannot talk
--- a/src/state.rs
+++ b/src/state.rs
@@ -191,6 +191,12 @@
         Some(told.map_or(0, |(_, tokens)| *tokens).min(self.order.prompt_tokens))
     }
 
+    /// Whether any host is told to hold half of the shared text or more.
+    pub(crate) fn known(&self) -> bool {
+        let half = |(_, tokens): &(u32, u32)| 2 * tokens >= self.order.shared_tokens;
+        self.told.as_ref().is_some_and(|told| told.iter().any(half))
+    }
+
     /// All shots that may have run, the earlier one first.
     pub(crate) fn ran(&self) -> impl Iterator<Item = &Shot> {
         self.earlier.iter().chain(&self.shots).filter(|shot| shot.may_have_run)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -581,6 +581,41 @@
     }
 }
 
+/// What hosts are told to hold counts in the place of the own table; without it nothing changes.
+#[test]
+fn what_is_told_to_be_kept_counts_for_the_own_table() {
+    // Told as host and tokens; the reader that gets a prompt of 3000 tokens whose session reader 1 had before; reader 0 has
+    // 1500 tokens to read.
+    let cases: [(&str, Option<&[(u32, u32)]>, u32); 5] = [
+        ("nothing told", None, 1),
+        ("it holds it", Some(&[(1, 1800)]), 1),
+        ("it has lost it, another holds it", Some(&[(2, 1800)]), 2),
+        ("all hold as much: the last reader", Some(&[(0, 1800), (1, 1800), (2, 1800)]), 1),
+        ("the busy one holds it, and that is worth more", Some(&[(0, 2900)]), 0),
+    ];
+    for (what, told, wanted) in cases {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (READER, 0), (WRITER, 0)]);
+        // Only reader 1 runs while the session is read first, only reader 0 when the other prompt comes.
+        let only = |desk: &mut Desk, at: u64, on: &[u32]| {
+            for host in 0..3 {
+                let standing = if on.contains(&host) { Standing::Running } else { Standing::Draining };
+                desk.list(at, host, standing, None);
+            }
+        };
+        only(&mut desk, 1, &[1]);
+        desk.serve(2, 1, 7, 2000);
+        only(&mut desk, 200, &[0]);
+        assert_eq!(sent(&desk.order(201, 2, 8, 1500)), Some(0));
+        only(&mut desk, 210, &[0, 1, 2]);
+        if let Some(told) = told {
+            assert!(desk.tell(220, Event::Kept { kept: told.to_vec() }).is_empty());
+        }
+        assert_eq!(sent(&desk.order(221, 3, 7, 3000)), Some(wanted), "{what}");
+        // It was for that one order only.
+        assert!(sent(&desk.order(222, 4, 7, 100)).is_some(), "{what}");
+    }
+}
+
 #[test]
 fn the_answer_to_a_task_given_up_is_at_once_with_advice_in_time() {
     let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
