--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -586,7 +586,8 @@
 fn what_is_told_to_be_kept_counts_for_the_own_table() {
     // Told as host and tokens; the reader that gets a prompt of 3000 tokens whose session reader 1 had before; reader 0 has
     // 1500 tokens to read.
-    let cases: [(&str, Option<&[(u32, u32)]>, u32); 5] = [
+    type Case = (&'static str, Option<&'static [(u32, u32)]>, u32);
+    let cases: [Case; 5] = [
         ("nothing told", None, 1),
         ("it holds it", Some(&[(1, 1800)]), 1),
         ("it has lost it, another holds it", Some(&[(2, 1800)]), 2),
