--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod belief;
 pub mod chain;
+pub mod follow;
 pub mod index;
 mod places;
 
