Ask a dispatcher what its index knows: index show, index explain

Operators could not see why a prompt went where it did. Over the control socket; the owner answers between two events. A test over sockets: unmarked texts go where they were read, and a new start clears a host, told within a quarter second of the last one (a whole second missed hosts that began anew in a dispatcher's first second).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::fs;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tulipstall_dispatcher::{Dispatcher, set_up_coroutines};
@@ -81,11 +82,19 @@
         #[arg(long, default_value_t = 2000, requires = "vary")]
         window_ms: u64,
     },
+    /// Ask a dispatcher's control socket which opening texts it thinks which hosts hold.
+    Index {
+        #[command(subcommand)]
+        what: IndexOf,
+        /// The dispatcher's control socket.
+        #[arg(long, global = true, default_value = "127.0.0.1:9700")]
+        control: SocketAddr,
+    },
     /// Put an open-loop load on a dispatcher; latency counts from when each request was due.
     Load {
         /// The dispatcher.
         #[arg(long)]
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         #[arg(long, default_value = "chat-reply")]
         model: String,
         #[arg(long, default_value_t = 20.0)]
@@ -191,6 +200,39 @@
     fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
 }
 
+#[derive(Subcommand)]
+enum IndexOf {
+    /// Sizes, and what is held and believed of each host.
+    Show,
+    /// What hosts hold of a prompt, read from a file.
+    Explain {
+        prompt: PathBuf,
+        /// The customer whose prompt it is, where customers are kept apart.
+        #[arg(long)]
+        customer: Option<String>,
+    },
+}
+
+fn index(what: IndexOf, control: SocketAddr) -> Result<(), String> {
+    let request = match what {
+        IndexOf::Show => format!("GET /v1/index HTTP/1.1\r\nhost: {control}\r\n\r\n"),
+        IndexOf::Explain { prompt, customer } => {
+            let text =
+                fs::read_to_string(&prompt).map_err(|error| format!("{}: {error}", prompt.display()))?;
+            let customer = customer.map(|name| format!("x-customer: {name}\r\n")).unwrap_or_default();
+            let length = text.len();
+            format!(
+                "POST /v1/index/explain HTTP/1.1\r\nhost: {control}\r\n{customer}content-length: {length}\r\n\r\n{text}"
+            )
+        }
+    };
+    let answer = tulipstall_rig::day::call(control, &request)
+        .ok_or_else(|| format!("{control} does not answer, or does not know opening texts by content"))?;
+    let answer: serde_json::Value = serde_json::from_slice(&answer).map_err(|error| error.to_string())?;
+    println!("{}", serde_json::to_string_pretty(&answer).unwrap_or_default());
+    Ok(())
+}
+
 fn day(
     file: &Path,
     folder: Option<PathBuf>,
@@ -242,6 +284,7 @@
             let done = tulipstall_rig::demo::run(&mut out).and_then(|()| out.flush());
             done.map_err(|error| error.to_string())
         }
+        Command::Index { what, control } => index(what, control),
         Command::Day { file, folder, traffic, vary, window_ms } => {
             set_up_coroutines(None, 256 << 10);
             day(&file, folder, traffic, vary.map(|vary| (vary, window_ms)))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -300,6 +300,15 @@
         }
     }
 
+    /// What each host is thought to hold of a chain, longest first, as it would be told to the decisions now.
+    pub fn kept_of(&mut self, now: Duration, chain: &[u64]) -> Vec<Kept> {
+        let mut kept = Vec::new();
+        if let Prefix::Content(prefixes) = &mut self.prefixes {
+            prefixes.ask(now, chain, &mut kept);
+        }
+        kept
+    }
+
     /// As [`Core::new`], with every event and its actions told to a recorder.
     pub fn recorded(seed: u64, terms: Terms, mut recorder: Box<dyn Recorder>) -> Self {
         recorder.start(seed, &terms);
@@ -484,8 +493,8 @@
         self.starts.resize(self.starts.len().max(at + 1), (Duration::ZERO, false));
         let (start, was) = self.starts[at];
         let started = line.up_for.map_or(Duration::ZERO, |up| now.saturating_sub(up));
-        // A second: what clocks and lists may differ by between two tellings of one start.
-        let anew = started > start + Duration::from_secs(1);
+        // A quarter second: what clocks may differ by between two tellings of one start. Too little clears in vain.
+        let anew = started > start + Duration::from_millis(250);
         let runs = line.standing != Standing::Gone;
         self.starts[at] = (if anew { started } else { start }, runs);
         let Prefix::Content(prefixes) = &mut self.prefixes else { return };
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -24,8 +24,13 @@
     Told(Input),
     /// Every task in hand is broken off.
     BreakAll,
+    /// Somebody asks what is known; nothing is changed by it.
+    Look(Look),
 }
 
+/// A question to the core, which sends its answer itself.
+pub type Look = Box<dyn FnOnce(&mut Core, Duration) + Send>;
+
 /// Lines of a record that may wait for the disk before recording gives up rather than fill the memory.
 const RECORD_BACKLOG: usize = 100_000;
 
@@ -122,6 +127,7 @@
             },
             Some(Post::Told(input)) => input,
             Some(Post::BreakAll) => return self.break_all(now, out),
+            Some(Post::Look(look)) => return look(&mut self.core, now),
         };
         if let Input::Closed { outcome, .. } = &input {
             self.shared.metrics.shots.with_label_values(&[outcome_name(*outcome)]).inc();
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -39,6 +39,16 @@
         &self.index
     }
 
+    /// What is known of a host: blocks held, and how far that is believed.
+    pub fn host(&self, now: Duration, host: u32) -> (u32, f64) {
+        (self.index.held(host), self.beliefs.of(now, host))
+    }
+
+    /// Whether many hosts contradict the index just now.
+    pub fn doubted(&self) -> bool {
+        self.beliefs.doubted()
+    }
+
     /// A host is listed: what it can keep, in blocks, where told; `fresh` where its process has begun anew.
     pub fn listed(&mut self, host: u32, most: Option<u32>, fresh: bool) {
         self.index.room(host, most.unwrap_or(u32::MAX));
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -572,7 +572,8 @@
     Ok(child)
 }
 
-fn call(address: SocketAddr, request: &str) -> Option<Vec<u8>> {
+/// The body of a 200 to this request; nothing else is of use to who asks.
+pub fn call(address: SocketAddr, request: &str) -> Option<Vec<u8>> {
     let until = Instant::now() + Duration::from_secs(2);
     let link = Link::connect(&address, Duration::from_millis(500)).ok()?;
     link.write(request.as_bytes(), until).ok()?;
--- a/crates/rig/tests/paths.rs
+++ b/crates/rig/tests/paths.rs
@@ -12,7 +12,7 @@
 use tulipstall_judge::{Answer, Group, Seen, What};
 use tulipstall_net::spawn;
 use tulipstall_rig::client::{Crowd, Manner, Request, Said, ask};
-use tulipstall_rig::day::answers;
+use tulipstall_rig::day::{answers, call};
 use tulipstall_rig::fleet::{Fleet, settings};
 use tulipstall_settings::{HostLine, HostList, HostStanding, Settings};
 use tulipstall_standin::{Mid, Role, Spec, Trouble, text};
@@ -884,3 +884,59 @@
         }
     }
 }
+
+/// What a reader has read is known by content, also where no client marked it; a host that began anew holds nothing.
+#[test]
+fn the_index_knows_who_read_what() {
+    let _alone = alone();
+    let fleet = fleet(&[host(Role::Read, 0), host(Role::Read, 1), host(Role::Write, 0)]);
+    let dispatcher = start(|_| {});
+    dispatcher.push(&fleet.list());
+    let control = dispatcher.control().expect("a control socket");
+    let ask_index = move |request: String| -> serde_json::Value {
+        let body = spawn(move || call(control, &request)).join().expect("a client").expect("an answer");
+        serde_json::from_slice(&body).expect("JSON")
+    };
+    let prompt = |text: &str| format!("{}{text}", "ตารางเรือ the ferry leaves at eight. ".repeat(40));
+    let one =
+        |text: &str, mark: &str| Request::new("chat-reply", &format!("{} [[task:{mark}]]", prompt(text)));
+    let explain = |text: &str| -> Vec<(String, u64)> {
+        let request = Request::new("chat-reply", &prompt(text));
+        let prompt = tulipstall_messages::parse(request.body().as_bytes()).expect("a good body").prompt;
+        let length = prompt.len();
+        let head = "POST /v1/index/explain HTTP/1.1\r\nhost: x\r\ncontent-length: ";
+        let about = ask_index(format!("{head}{length}\r\n\r\n{prompt}"));
+        let kept = about["kept"].as_array().expect("rows").clone();
+        let row = |row: &serde_json::Value| {
+            (row["host"].as_str().unwrap_or_default().to_owned(), row["tokens"].as_u64().unwrap_or(0))
+        };
+        kept.iter().map(row).collect()
+    };
+    assert!(explain("a").is_empty());
+    let first = asked(&dispatcher, one("a", "1"), Manner::default());
+    assert_eq!((first.answer, first.usage[1]), (Answer::Delivered, 0));
+    let reader = |mark: &str| {
+        let lines = fleet.log.lines();
+        lines.iter().find(|line| line.mark == mark && line.what == What::Read).map(|line| line.host.clone())
+    };
+    let holder = reader("1").expect("a reader");
+    let held = explain("another end");
+    assert_eq!((held.len(), &held[0].0), (1, &holder));
+    assert!(held[0].1 >= 400, "{held:?}");
+    // Other sessions with the same beginning go where it is.
+    for i in 2..8 {
+        let mark = i.to_string();
+        let said = asked(&dispatcher, one(&format!("end {i}"), &mark), Manner::default());
+        assert_eq!((said.answer, reader(&mark)), (Answer::Delivered, Some(holder.clone())));
+        assert!(said.usage[1] > 300, "{:?}", said.usage);
+    }
+    let about = ask_index("GET /v1/index HTTP/1.1\r\nhost: x\r\n\r\n".to_owned());
+    let row =
+        about["hosts"].as_array().expect("rows").iter().find(|row| row["host"] == holder.as_str()).cloned();
+    assert!(row.is_some_and(|row| row["tokens"].as_u64() > Some(400) && row["belief"] == 1.0), "{about}");
+    let again = fleet.hosts.iter().find(|host| host.name == holder).expect("the holder");
+    let now = tulipstall_dispatcher::now_unix_ms();
+    let line = Fleet::line(again, HostStanding::Running, Some(now));
+    dispatcher.push(&HostList { version: 2, whole: false, hosts: vec![line] });
+    wait_for("the list", || explain("a").is_empty());
+}
