--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -226,6 +226,12 @@
     pub shots: u64,
     /// Shots whose end had not been told by their time.
     pub overdue: u64,
+    /// Over all reads: tokens in blocks, those of them thought kept where they were read, those of these found.
+    pub read_tokens: u64,
+    pub thought_tokens: u64,
+    pub found_tokens: u64,
+    /// Hosts that were seen to have forgotten.
+    pub forgot: u64,
 }
 
 /// How it is known which host holds which opening text.
@@ -414,7 +420,12 @@
         let part = f64::from(end.kept_tokens) / f64::from(end.prompt_tokens.max(1));
         let found = (part.min(1.0) * life.chain.len() as f64).round() as u32;
         if end.prompt_tokens > 0 {
-            prefixes.read(now, host, &life.chain, thought, found);
+            let forgot = prefixes.read(now, host, &life.chain, thought, found);
+            let tokens = |blocks: u32| u64::from(blocks) * u64::from(BLOCK);
+            self.counts.read_tokens += tokens(life.chain.len() as u32);
+            self.counts.thought_tokens += tokens(thought);
+            self.counts.found_tokens += tokens(found.min(thought));
+            self.counts.forgot += u64::from(forgot);
         }
     }
 
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::Shared;
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use std::sync::atomic::Ordering;
 use tulipstall_settings::Settings;
@@ -26,6 +26,8 @@
     pub events: IntCounter,
     pub deciding: IntCounter,
     pub notes: IntCounterVec,
+    /// Prompt tokens read, those thought kept, those found, and hosts seen to have forgotten.
+    pub prefixes: IntGaugeVec,
     /// Shots that did not tell their end by their time.
     pub overdue: IntGauge,
     in_hand: IntGauge,
@@ -51,6 +53,10 @@
             let _ = registry.register(Box::new(made.clone()));
             made
         };
+        let prefixes =
+            Opts::new("prefix_index", "Tokens read, thought kept and found kept; hosts that forgot");
+        let prefixes = IntGaugeVec::new(prefixes, &["what"]).expect("a fixed name");
+        let _ = registry.register(Box::new(prefixes.clone()));
         let gauge = |name: &str, help: &str| {
             let made = IntGauge::new(name, help).expect("a fixed name");
             let _ = registry.register(Box::new(made.clone()));
@@ -72,6 +78,7 @@
                 "Streams for which a better writer was looked for",
                 &["why", "then"],
             ),
+            prefixes,
             reread: counter("reread_tokens_total", "Tokens read again for answers whose writer was lost"),
             lists: counters("lists_total", "Lists of hosts", &["source", "result"]),
             events: counter("events_total", "Events decided on"),
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -73,7 +73,8 @@
         PrefixBy::Table => Prefix::Table,
         PrefixBy::Nothing => Prefix::Nothing,
     });
-    let mut owner = Owner { shared, core, tasks: Vec::new(), ways: Vec::new(), out: Vec::new() };
+    let mut owner =
+        Owner { shared, core, tasks: Vec::new(), ways: Vec::new(), out: Vec::new(), read_tokens: 0 };
     // A thread: its waits have time-outs, which are not sound in coroutines (docs/coroutines.md).
     std::thread::Builder::new().name("owner".into()).spawn(move || owner.run(&posts))?;
     Ok(())
@@ -91,6 +92,8 @@
     tasks: Vec<Option<InHand>>,
     ways: Vec<Option<Arc<Way>>>,
     out: Vec<Output>,
+    /// As it was told last.
+    read_tokens: u64,
 }
 
 impl Owner {
@@ -109,6 +112,7 @@
             self.shared.metrics.deciding.inc_by(before.elapsed().as_nanos() as u64);
             self.shared.metrics.events.inc();
             self.shared.metrics.overdue.set(self.core.counts().overdue as i64);
+            self.tell_prefixes();
             for output in out.drain(..) {
                 self.carry_out(output);
             }
@@ -117,6 +121,23 @@
         }
     }
 
+    /// What reads bore out of the index, where that has changed.
+    fn tell_prefixes(&mut self) {
+        let counts = self.core.counts();
+        if counts.read_tokens == self.read_tokens {
+            return;
+        }
+        self.read_tokens = counts.read_tokens;
+        for (what, count) in [
+            ("read", counts.read_tokens),
+            ("thought", counts.thought_tokens),
+            ("found", counts.found_tokens),
+            ("hosts forgot", counts.forgot),
+        ] {
+            self.shared.metrics.prefixes.with_label_values(&[what]).set(count as i64);
+        }
+    }
+
     fn decide(&mut self, now: Duration, post: Option<Post>, out: &mut Vec<Output>) {
         let input = match post {
             None => Input::Tick,
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -72,12 +72,14 @@
         }
     }
 
-    /// A host has read a prompt: it found `found` blocks kept where `thought` were thought so, and holds all now.
-    pub fn read(&mut self, now: Duration, host: u32, chain: &[u64], thought: u32, found: u32) {
+    /// A host has read a prompt: it found `found` blocks kept where `thought` were thought so, and holds all now. True if
+    /// it had forgotten.
+    pub fn read(&mut self, now: Duration, host: u32, chain: &[u64], thought: u32, found: u32) -> bool {
         let sign = self.beliefs.note(now, host, thought, found);
         if sign == Sign::Forgot {
             self.index.forget(host);
         }
         self.index.read(now, host, chain, sign == Sign::Evicted);
+        sign == Sign::Forgot
     }
 }
