Take less than a fifth less as counted otherwise, not as evicted; chain all that is read again

The index's blocks are of our tokens and what a read found is told in the engine's: any block less shrank the host's room by a tenth. What goes on with an answer was told found as a part of a longer prompt than its chain.

--- a/crates/dispatcher/src/front.rs
+++ b/crates/dispatcher/src/front.rs
@@ -673,6 +673,8 @@
             prompt_tokens: first.ask.prompt_tokens + answer.tokens(),
             most_tokens: most,
             again: true,
+            // Of all that is read again: what is found kept is told as a part of that.
+            chain: self.chain(first.ask.customer, &text),
             ..first.ask.clone()
         };
         let prompt = Prompt { text, most_tokens: most, resume, ..first.prompt.clone() };
--- a/crates/prefix/src/belief.rs
+++ b/crates/prefix/src/belief.rs
@@ -11,6 +11,10 @@
 /// texts, forgetting takes their beginnings.
 const PLAINLY: f64 = 0.25;
 
+/// A read that found less than this part shows that something was evicted: blocks are of our tokens, not the engine's, and
+/// where both are mixed in a text a fifth is not told apart from that.
+const LESS: f64 = 0.8;
+
 /// Plain contradictions in a row after which a host has forgotten; with one, any evicted text would do.
 const ROW: u32 = 2;
 
@@ -127,7 +131,7 @@
         match (forgot, plainly) {
             (true, _) => Sign::Forgot,
             (false, true) => Sign::Contradicts,
-            (false, false) if found < thought => Sign::Evicted,
+            (false, false) if f64::from(found) < LESS * f64::from(thought) => Sign::Evicted,
             (false, false) => Sign::Sound,
         }
     }
