Count an answer as whole that lacks only its end mark

A writer lost after its last token, before [DONE]: what went on said tokens after the end and the answer was broken off, a single-use one always. Its finish has come, nothing is missing. Three ways to end over sockets; red without.

--- a/crates/dispatcher/src/relay.rs
+++ b/crates/dispatcher/src/relay.rs
@@ -333,7 +333,7 @@
         let mut stream: Option<Stream> = None;
         let mut longest = Duration::ZERO;
         let mut pieces = std::mem::take(&mut begun.pieces);
-        let (mut bytes, mut events) = (Vec::new(), Vec::new());
+        let (mut bytes, mut events, mut ended) = (Vec::new(), Vec::new(), false);
         let first = !self.headed;
         if let Some(usage) = pieces.iter().find_map(|piece| piece.usage).filter(|_| first) {
             self.count(usage);
@@ -370,8 +370,8 @@
             if self.flush().is_err() {
                 return Ended::Client;
             }
-            if begun.done {
-                return if self.finish.is_some() && self.so_far.may_end() {
+            if begun.done || (ended && self.said_all()) {
+                return if self.said_all() {
                     if let Ok(mut silence) = self.shared.silence.lock() {
                         silence.note(longest);
                     }
@@ -404,8 +404,10 @@
             if !self.form.stream {
                 until = until.min(self.until);
             }
-            let ended = match begun.reply.body(&mut bytes, until) {
+            ended = match begun.reply.body(&mut bytes, until) {
                 Ok(ended) => ended,
+                // All has been said: that the end mark is missing takes nothing from it.
+                Err(Fault::TimedOut | Fault::Broken) if self.said_all() => return Ended::Whole,
                 Err(Fault::TimedOut) if !self.form.stream && left(self.until).is_zero() => {
                     return Ended::Late;
                 }
@@ -429,7 +431,7 @@
                     None => return Ended::Lost("rubbish"),
                 }
             }
-            if ended && !begun.done {
+            if ended && !begun.done && !self.said_all() && pieces.iter().all(|piece| piece.finish.is_none()) {
                 return Ended::Lost("ended without its mark");
             }
         }
@@ -477,6 +479,11 @@
         Ok(false)
     }
 
+    /// The last token has come, with why it is the last.
+    fn said_all(&self) -> bool {
+        self.finish.is_some() && self.so_far.may_end()
+    }
+
     fn flush(&mut self) -> Result<(), Fault> {
         if self.out.is_empty() {
             return Ok(());
--- a/crates/rig/tests/paths.rs
+++ b/crates/rig/tests/paths.rs
@@ -356,7 +356,7 @@
 }
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
-    3d\r\ndata: {\"choices\":[{\"text\":\"x\",\"finish_reason\":\"stop\"}]}\n\n\r\n\
+    39\r\ndata: {\"choices\":[{\"text\":\"x\",\"finish_reason\":\"stop\"}]}\n\n\r\n\
     e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
 
 /// A connection that was kept, and that the host closes as the next request is written: the request may have
@@ -977,3 +977,37 @@
     assert!(vain <= 7 * each, "{vain} tokens sent in vain, {each} a text");
     assert_eq!(round(3), TEXTS, "what was read anew is known");
 }
+
+/// A writer that is lost after its last token, before the end mark: the answer is whole, for every kind of task.
+#[test]
+fn an_answer_that_lacks_only_its_end_mark_is_whole() {
+    let _alone = alone();
+    const SAID: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        39\r\ndata: {\"choices\":[{\"text\":\"x\",\"finish_reason\":\"stop\"}]}\n\n\r\n";
+    let ends: fn(&mut TcpStream) = |stream| {
+        drop(stream.write_all(SAID));
+        drop(stream.write_all(b"0\r\n\r\n"));
+    };
+    let cut: fn(&mut TcpStream) = |stream| drop(stream.write_all(SAID));
+    let silent: fn(&mut TcpStream) = |stream| {
+        drop(stream.write_all(SAID));
+        thread::sleep(ms(800));
+    };
+    for (what, peer) in [("ends", ends), ("cut", cut), ("silent", silent)] {
+        let (address, requests) = peer_of(peer);
+        let dispatcher = start(|settings| settings.times.writer_stall_ms = 300);
+        let list = vec![line(address, "mixed", HostStanding::Running)];
+        dispatcher.push(&HostList { version: 1, whole: true, hosts: list });
+        for (offering, stream) in [("chat-reply", true), ("chat-reply", false), ("seat-change", true)] {
+            let before = requests.load(Ordering::SeqCst);
+            let one = Request { stream, ..request(offering, what) };
+            let said = asked(&dispatcher, one, Manner::default());
+            assert_eq!(
+                (&said.answer, said.text.as_str(), said.after),
+                (&Answer::Delivered, "x", 0),
+                "{what} {offering}"
+            );
+            assert_eq!(requests.load(Ordering::SeqCst), before + 1, "{what} {offering}");
+        }
+    }
+}
