--- a/crates/recovery/tests/orders.rs
+++ b/crates/recovery/tests/orders.rs
@@ -21,11 +21,13 @@
     Lost,
     /// Another writer begins.
     GoesOn,
+    /// Another writer takes over while this one still speaks.
+    Moves,
     /// Half of the time for going on passes.
     Later,
 }
 
-const STEPS: [Step; 8] = [
+const STEPS: [Step; 9] = [
     Step::Says,
     Step::SaysSomewhere,
     Step::Repeats,
@@ -33,6 +35,7 @@
     Step::Lies,
     Step::Lost,
     Step::GoesOn,
+    Step::Moves,
     Step::Later,
 ];
 
@@ -136,6 +139,13 @@
                 self.answer.goes_on();
                 self.writer = Some(from);
             }
+            Step::Moves if self.writer.is_some() && self.over.is_none() => {
+                if let Some((from, most)) = self.answer.may_move() {
+                    assert!(from <= self.answer.tokens() && from + most == MOST);
+                    self.answer.moved();
+                    (self.writer, self.lost) = (Some(from), true);
+                }
+            }
             Step::Later => self.now += WITHIN / 2,
             _ => {}
         }
