Hash prompts in one place for the front and the operators' question

Both chose a customer's salt by themselves: explain could have looked under another than tasks are kept under.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -120,12 +120,9 @@
 /// What hosts hold of the prompt that is sent as the body, and whose the customer is that `x-customer` names.
 fn explain(shared: &Arc<Shared>, head: &Head, body: &[u8], with: With) -> Vec<u8> {
     let Ok(text) = std::str::from_utf8(body) else { return reply::refusal(400, "a prompt is text", with) };
-    let settings = &shared.settings;
-    let customer =
-        head.text("x-customer").and_then(|name| settings.customers.iter().position(|c| c.name == name));
-    let salt = customer.filter(|_| settings.prefixes.customers_apart).map_or(0, |at| at as u64 + 1);
-    let mut chain = Vec::new();
-    shared.key.chain(salt, text, &mut chain);
+    let customers = &shared.settings.customers;
+    let customer = head.text("x-customer").and_then(|name| customers.iter().position(|c| c.name == name));
+    let chain = shared.chain(customer.map(|at| at as u32), text);
     let whole = chain.len();
     let kept = look(shared, move |core, now| {
         core.prefixes()?;
--- a/crates/dispatcher/src/front.rs
+++ b/crates/dispatcher/src/front.rs
@@ -21,7 +21,7 @@
 use tulipstall_net::{Fault, Link, Listener, READ, spawn};
 use tulipstall_recovery::budget::{Verdict, Wish};
 use tulipstall_recovery::{Answer, Next};
-use tulipstall_settings::{Effect, Group, PrefixBy};
+use tulipstall_settings::{Effect, Group};
 
 /// Requests of one connection that may be read ahead of their turn.
 const PIPELINED: usize = 4;
@@ -446,23 +446,11 @@
             most_tokens: call.most_tokens,
             again: tries.is_some_and(|tries| tries > 0),
             ran: None,
-            chain: self.chain(customer, &call.prompt),
+            chain: self.shared.chain(customer, &call.prompt),
         };
         Ok((call, ask, mark.map(str::to_owned)))
     }
 
-    /// The prompt's hashed blocks, where opening texts are known by content.
-    fn chain(&self, customer: Option<u32>, prompt: &str) -> Arc<[u64]> {
-        let told = &self.shared.settings.prefixes;
-        let mut chain = Vec::new();
-        if told.by == PrefixBy::Content {
-            let salt =
-                customer.filter(|_| told.customers_apart).map_or(0, |customer| u64::from(customer) + 1);
-            self.shared.key.chain(salt, prompt, &mut chain);
-        }
-        chain.into()
-    }
-
     fn messages(&mut self, head: &Head, body: &[u8], with: With) -> bool {
         let asked = self.ask(head, body);
         let busy = asked.as_ref().ok().and_then(|_| self.too_busy());
@@ -674,7 +662,7 @@
             most_tokens: most,
             again: true,
             // Of all that is read again: what is found kept is told as a part of that.
-            chain: self.chain(first.ask.customer, &text),
+            chain: self.shared.chain(first.ask.customer, &text),
             ..first.ask.clone()
         };
         let prompt = Prompt { text, most_tokens: most, resume, ..first.prompt.clone() };
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -27,7 +27,7 @@
 use tulipstall_recovery::budget::{Budget, Verdict, Wish};
 use tulipstall_recovery::pace::Paces;
 use tulipstall_recovery::silence::Silence;
-use tulipstall_settings::{HostList, Settings};
+use tulipstall_settings::{HostList, PrefixBy, Settings};
 
 pub use hosts::now_unix_ms;
 
@@ -82,6 +82,18 @@
         self.start.elapsed()
     }
 
+    /// A customer's prompt as hashed blocks, where opening texts are known by content.
+    pub fn chain(&self, customer: Option<u32>, prompt: &str) -> Arc<[u64]> {
+        let told = &self.settings.prefixes;
+        let mut chain = Vec::new();
+        if told.by == PrefixBy::Content {
+            let salt =
+                customer.filter(|_| told.customers_apart).map_or(0, |customer| u64::from(customer) + 1);
+            self.key.chain(salt, prompt, &mut chain);
+        }
+        chain.into()
+    }
+
     /// Whether a lost answer may be read again now.
     pub fn may_reread(&self, wish: Wish) -> Verdict {
         match self.rereads.lock() {
