--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -1,7 +1,6 @@
 //! One dispatcher: its door, its rules, and its part of a reply.
 
 use crate::wire::{Fault, Parts};
-use crate::words;
 use serde_json::Value;
 use std::fmt::Write;
 use std::time::Duration;
@@ -30,7 +29,7 @@
 
 impl Instance {
     pub fn open(number: u64, seed: u64, start: &Value, clock: u64) -> Self {
-        let mut terms = words::terms(start);
+        let mut terms = tulipstall_platform::terms(start);
         let door = Door::open(&mut terms);
         Instance { number, origin: clock, door, rules: Rules::new(seed, &terms), actions: Vec::new() }
     }
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,7 +2,6 @@
 
 mod instance;
 mod wire;
-mod words;
 
 use instance::{Instance, Row};
 use rustc_hash::FxHashMap;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -58,6 +58,12 @@
         #[arg(long)]
         addresses: Option<PathBuf>,
     },
+    /// Run the dispatcher as the platform starts it: told by its environment, listening on one address.
+    Node {
+        /// The configuration; else where EDGE_CONFIG says.
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
     /// Check settings; every fault is named by its place.
     Check { file: PathBuf },
     /// Print the JSON Schema of the settings.
@@ -272,6 +278,11 @@
     let _lines = log(&program.log, matches!(program.command, Command::Demo | Command::Day { .. }));
     let done = match program.command {
         Command::Serve { settings, record, addresses } => serve(&settings, record, addresses),
+        Command::Node { config } => {
+            let config = config.or_else(|| std::env::var_os("EDGE_CONFIG").map(PathBuf::from));
+            let config = config.ok_or_else(|| "neither --config nor EDGE_CONFIG is given".to_owned());
+            config.and_then(tulipstall_node::run)
+        }
         Command::Check { file } => settings(&file).map(|_| println!("{}: good", file.display())),
         Command::Schema => {
             println!("{}", serde_json::to_string_pretty(&tulipstall_settings::schema()).unwrap_or_default());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,8 @@
     pub shared_tokens: u32,
     pub most_tokens: u32,
     pub again: bool,
+    /// A guess of the answer's length as time at the offering's pace; absent: from the answers so far.
+    pub hint: Option<Duration>,
     /// The first shot that may have run of the answer that this goes on with.
     pub ran: Option<Ran>,
     /// The prompt as a chain of hashed blocks (`tulipstall_prefix::chain`).
@@ -386,7 +388,9 @@
             session: ask.session.as_deref().map(|name| self.door.sessions.enter(name)),
             shared: ask.shared.as_deref().map(|name| self.door.shared_texts.enter(name)),
             left: ask.left,
-            hint: known.map(|lengths| Duration::from_secs_f64((lengths.mean * pace).clamp(0.0, 1e6))),
+            hint: ask.hint.or_else(|| {
+                known.map(|lengths| Duration::from_secs_f64((lengths.mean * pace).clamp(0.0, 1e6)))
+            }),
             prompt_tokens: ask.prompt_tokens,
             shared_tokens: ask.shared_tokens.min(ask.prompt_tokens),
             most_tokens: ask.most_tokens,
--- a/crates/dispatcher/src/front.rs
+++ b/crates/dispatcher/src/front.rs
@@ -445,6 +445,7 @@
             shared_tokens: estimate_tokens(&call.prompt[..call.shared_bytes]),
             most_tokens: call.most_tokens,
             again: tries.is_some_and(|tries| tries > 0),
+            hint: None,
             ran: None,
             chain: self.shared.chain(customer, &call.prompt),
         };
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -128,10 +128,7 @@
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
     // Four: the decisions have one owner, and past four workers it is what everything waits for.
     let workers = workers.map_or(cores.min(4), |workers| workers as usize);
-    let config = may::config();
-    config.set_workers(workers).set_stack_size(stack_bytes / size_of::<usize>());
-    // Workers that cannot move wait for whoever else wants their core.
-    config.set_worker_pin(false);
+    tulipstall_net::set_up(workers, stack_bytes);
 }
 
 impl Dispatcher {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,7 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -56,12 +56,46 @@
 struct Waited<T: AsRawFd> {
     io: CoIo<Arc<T>>,
     socket: Arc<T>,
+    _held: Held,
+}
+
+static HELD: AtomicUsize = AtomicUsize::new(0);
+
+/// One of the sockets that the process holds, those included that are shut and buried for a while.
+struct Held;
+
+impl Held {
+    fn new() -> Self {
+        HELD.fetch_add(1, Ordering::Relaxed);
+        Held
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        HELD.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// How many sockets the process holds.
+pub fn sockets_held() -> usize {
+    HELD.load(Ordering::Relaxed)
+}
+
+/// Sets the coroutines up; before the first of them only. With one worker whoever resumes a coroutine has also put
+/// it to wait, so that what ends need not be kept for as long (docs/coroutines.md).
+pub fn set_up(workers: usize, stack_bytes: usize) {
+    let config = may::config();
+    config.set_workers(workers).set_stack_size(stack_bytes / size_of::<usize>());
+    // A pinned worker waits for whoever else wants its core.
+    config.set_worker_pin(false);
+    watch::keep_buried(workers);
 }
 
 impl<T: AsRawFd> Waited<T> {
     fn new(socket: T) -> io::Result<Arc<Self>> {
         let socket = Arc::new(socket);
-        Ok(Arc::new(Waited { io: CoIo::new(socket.clone())?, socket }))
+        Ok(Arc::new(Waited { io: CoIo::new(socket.clone())?, socket, _held: Held::new() }))
     }
 
     fn inner(&self) -> &T {
@@ -368,6 +402,14 @@
         }
     }
 
+    /// Lets go of those that were idle for too long, or that the peer has closed.
+    pub fn trim(&self) {
+        let now = Instant::now();
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.retain(|(link, since)| now.duration_since(*since) < self.idle_for && !link.stale());
+        }
+    }
+
     pub fn clear(&self) {
         if let Ok(mut idle) = self.idle.lock() {
             idle.clear();
--- a/crates/net/src/watch.rs
+++ b/crates/net/src/watch.rs
@@ -4,7 +4,7 @@
 use crate::Inner;
 use std::any::Any;
 use std::net::Shutdown;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +18,15 @@
 /// a process that stood still as a whole loses nothing.
 const KEPT: u32 = 60;
 
+/// With one worker: until the look after the next, as nobody can be between those instructions.
+const KEPT_BY_ONE: u32 = 2;
+
+static KEEPS: AtomicU32 = AtomicU32::new(KEPT);
+
+pub fn keep_buried(workers: usize) {
+    KEEPS.store(if workers == 1 { KEPT_BY_ONE } else { KEPT }, Ordering::Relaxed);
+}
+
 struct Watch {
     start: Instant,
     links: Mutex<Vec<Weak<Inner>>>,
@@ -62,7 +71,7 @@
     loop {
         thread::sleep(LOOK);
         looks += 1;
-        if looks == KEPT {
+        if looks >= KEEPS.load(Ordering::Relaxed) {
             looks = 0;
             // Dropped with no lock held: what is dropped may bury more.
             let buried = watch.buried.lock().map(|mut buried| std::mem::take(&mut *buried));
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,423 @@
+//! Clients' connections. Two coroutines each: one reads requests and notices when the client leaves, the other answers
+//! them in their order.
+
+use crate::owner::Post;
+use crate::shot::{Begun, over};
+use crate::task::Task;
+use crate::{Shared, lock, relay};
+use may::sync::Semphore;
+use may::sync::mpsc::{Receiver, Sender, channel};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tulipstall_core::TaskId;
+use tulipstall_http1::{Head, Limits, Refusal, RequestReader, Step};
+use tulipstall_net::{Fault, Link, Listener, READ, sockets_held, spawn};
+use tulipstall_platform::call::{self, BODY, Refused};
+use tulipstall_platform::room::{Idle, REQUEST, SAYS_NOTHING};
+
+const REQUESTS: Limits = Limits { head: 8192, line: 4096, headers: 48, body: BODY };
+
+/// Requests of one connection that may be read ahead of their turn.
+const PIPELINED: usize = 2;
+
+/// How long a write may wait for a client that does not read.
+const STALL: Duration = Duration::from_secs(5);
+
+/// What the coroutine that answers is told.
+pub enum Message {
+    Request(Box<Head>, Vec<u8>),
+    /// The client waits to be told to send its body.
+    Continue,
+    Refused(Refusal),
+    /// The client has left, was idle for too long, or took too long for a request.
+    Left {
+        late: bool,
+    },
+    Begun {
+        id: TaskId,
+        begun: Box<Begun>,
+    },
+    Bounced {
+        id: TaskId,
+        come_back: Option<Duration>,
+    },
+    BrokenOff {
+        id: TaskId,
+    },
+}
+
+/// What both coroutines of a connection and whoever makes room know.
+pub struct Client {
+    link: Link,
+    left: AtomicBool,
+    /// Requests begun to be read and not answered yet: while there are, it is not idle.
+    busy: AtomicUsize,
+    /// Requests answered.
+    answered: AtomicUsize,
+    /// The host whose stream it gets, to be shut when the client leaves.
+    host: Mutex<Option<Link>>,
+    since: Mutex<Instant>,
+    ahead: Semphore,
+}
+
+impl Client {
+    pub fn write(&self, bytes: &[u8]) -> Result<(), Fault> {
+        self.link.write(bytes, Instant::now() + STALL)
+    }
+
+    pub fn left(&self) -> bool {
+        self.left.load(Ordering::Acquire)
+    }
+
+    pub fn streams(&self, host: Option<&Link>) {
+        *lock(&self.host) = host.cloned();
+        if let (Some(host), true) = (host, self.left()) {
+            host.shut();
+        }
+    }
+
+    fn leaves(&self) {
+        self.left.store(true, Ordering::Release);
+        if let Some(host) = &*lock(&self.host) {
+            host.shut();
+        }
+    }
+}
+
+/// All clients' connections.
+#[derive(Default)]
+pub struct Clients {
+    open: Mutex<Slab<Arc<Client>>>,
+}
+
+impl Clients {
+    pub fn count(&self) -> usize {
+        lock(&self.open).len()
+    }
+
+    /// Closes every connection without a request.
+    pub fn close_idle(&self) {
+        let open = lock(&self.open);
+        for (_, client) in open.iter().filter(|(_, client)| client.busy.load(Ordering::SeqCst) == 0) {
+            client.link.shut();
+        }
+    }
+
+    /// Makes room for one more client; whether somebody could go.
+    fn make_room(&self, shared: &Shared) -> bool {
+        let open = lock(&self.open);
+        let idle = open.iter().filter(|(_, client)| {
+            client.busy.load(Ordering::SeqCst) == 0 && !client.left.load(Ordering::Acquire)
+        });
+        let idle = idle.map(|(at, client)| {
+            let since = lock(&client.since).saturating_duration_since(shared.start);
+            (at, Idle { since, known: client.answered.load(Ordering::Relaxed) > 0 })
+        });
+        match shared.room.goes(idle) {
+            Some(at) => {
+                open[at].left.store(true, Ordering::Release);
+                open[at].link.shut();
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+pub fn start(shared: Arc<Shared>, listener: Arc<Listener>) {
+    let about = shared.clone();
+    spawn(move || {
+        while !listener.is_closed() {
+            let held = sockets_held();
+            let clients = shared.clients.count();
+            if !shared.room.takes(clients, held) {
+                let made = shared.clients.make_room(&shared);
+                if !made && clients < shared.room.clients() {
+                    // Held by what has just been shut, or kept idle towards hosts.
+                    shared.hosts.clear();
+                }
+                // Whoever goes gives its descriptor back within moments.
+                tulipstall_net::sleep(Duration::from_millis(4));
+                if !shared.room.takes(shared.clients.count(), sockets_held()) && made {
+                    continue;
+                }
+            }
+            let Ok((link, _)) = listener.accept() else {
+                // Out of descriptors, most likely: a pause lets some go.
+                tulipstall_net::sleep(Duration::from_millis(10));
+                continue;
+            };
+            if shared.clients.count() >= shared.room.clients() {
+                let _ = link.write_now(
+                    &plain(503, "too many connections", false, Some(Duration::from_millis(200))).into_bytes(),
+                );
+                link.shut();
+                continue;
+            }
+            let shared = shared.clone();
+            spawn(move || serve(&shared, link));
+        }
+    });
+    spawn(move || {
+        loop {
+            tulipstall_net::sleep(Duration::from_secs(1));
+            about.hosts.trim();
+        }
+    });
+}
+
+/// Reads requests until the client leaves.
+fn read(shared: &Shared, client: &Client, inbox: &Sender<Message>) -> Message {
+    let mut reader = RequestReader::new(REQUESTS);
+    let came = Instant::now();
+    let mut since: Option<Instant> = None;
+    let mut first = true;
+    loop {
+        match reader.poll() {
+            Err(refusal) => return Message::Refused(refusal),
+            Ok(Step::Request(head, body)) => {
+                (since, first) = (None, false);
+                client.busy.fetch_add(1, Ordering::SeqCst);
+                client.ahead.wait();
+                if inbox.send(Message::Request(head, body)).is_err() {
+                    return Message::Left { late: false };
+                }
+            }
+            Ok(Step::Continue) => {
+                let _ = inbox.send(Message::Continue);
+            }
+            Ok(Step::More { begun }) => {
+                let now = Instant::now();
+                if begun && since.is_none() {
+                    since = Some(if first { came } else { now });
+                }
+                let until = match since {
+                    Some(since) => since + REQUEST,
+                    None if first => came + SAYS_NOTHING,
+                    None => now + shared.room.idle(shared.clients.count()),
+                };
+                // The last answer's end sets the time for idleness.
+                let waits = since.is_some() || client.busy.load(Ordering::SeqCst) == 0;
+                let mut buffer = [0; READ];
+                match client.link.read_until(&mut buffer, waits.then_some(until)) {
+                    Ok(got) if got > 0 => reader.feed(&buffer[..got]),
+                    Err(Fault::TimedOut) => return Message::Left { late: since.is_some() },
+                    _ => return Message::Left { late: false },
+                }
+            }
+        }
+    }
+}
+
+fn serve(shared: &Arc<Shared>, link: Link) {
+    let (sender, inbox) = channel();
+    let client = Arc::new(Client {
+        link,
+        left: AtomicBool::new(false),
+        busy: AtomicUsize::new(0),
+        answered: AtomicUsize::new(0),
+        host: Mutex::new(None),
+        since: Mutex::new(Instant::now()),
+        ahead: Semphore::new(PIPELINED),
+    });
+    let at = lock(&shared.clients.open).insert(client.clone());
+    let _out = CountOut { shared: shared.clone(), at };
+    let (about, reading, to) = (shared.clone(), client.clone(), sender.clone());
+    spawn(move || {
+        let end = read(&about, &reading, &to);
+        if !matches!(end, Message::Refused(_)) {
+            reading.leaves();
+        }
+        let _ = to.send(end);
+    });
+    let mut connection =
+        Connection { shared: shared.clone(), client, inbox, sender, waiting: VecDeque::new() };
+    connection.answer_all();
+    connection.client.leaves();
+    connection.client.link.shut();
+}
+
+/// Takes a client off the list, also where its coroutine panics.
+struct CountOut {
+    shared: Arc<Shared>,
+    at: usize,
+}
+
+impl Drop for CountOut {
+    fn drop(&mut self) {
+        lock(&self.shared.clients.open).try_remove(self.at);
+    }
+}
+
+/// Frees what a task in hand has, once its client has had its last byte.
+struct InHand<'a> {
+    shared: &'a Shared,
+    id: String,
+}
+
+impl Drop for InHand<'_> {
+    fn drop(&mut self) {
+        over(self.shared, &self.id);
+        self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// A whole answer that is no stream.
+fn plain(status: u16, why: &str, keep_alive: bool, come_back: Option<Duration>) -> String {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        409 => "Conflict",
+        503 => "Service Unavailable",
+        _ => "Error",
+    };
+    let body = if status == 200 { String::new() } else { format!("{{\"error\":\"{why}\"}}") };
+    let after =
+        come_back.map_or(String::new(), |after| format!("Retry-After: {:.3}\r\n", after.as_secs_f64()));
+    let close = if keep_alive { "" } else { "Connection: close\r\n" };
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n{after}{close}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+struct Connection {
+    shared: Arc<Shared>,
+    client: Arc<Client>,
+    inbox: Receiver<Message>,
+    sender: Sender<Message>,
+    /// What came while a task was in hand.
+    waiting: VecDeque<Message>,
+}
+
+impl Connection {
+    fn answer_all(&mut self) {
+        loop {
+            let message = match self.waiting.pop_front() {
+                Some(message) => message,
+                None => match self.inbox.recv() {
+                    Ok(message) => message,
+                    Err(_) => return,
+                },
+            };
+            let keeps = match message {
+                Message::Request(head, body) => {
+                    let keeps = self.answer(&head, body);
+                    self.client.ahead.post();
+                    self.client.answered.fetch_add(1, Ordering::Relaxed);
+                    *lock(&self.client.since) = Instant::now();
+                    if self.client.busy.fetch_sub(1, Ordering::SeqCst) == 1 {
+                        let idle = self.shared.room.idle(self.shared.clients.count());
+                        self.client.link.read_by(Some(Instant::now() + idle));
+                    }
+                    keeps
+                }
+                Message::Continue => self.client.write(b"HTTP/1.1 100 Continue\r\n\r\n").is_ok(),
+                Message::Refused(refusal) => {
+                    let _ = self.say(refusal.status(), refusal.why(), false, None);
+                    false
+                }
+                Message::Left { late } => {
+                    if late {
+                        let _ = self.client.link.write_now(plain(408, "too slow", false, None).as_bytes());
+                    }
+                    false
+                }
+                // Of a task that has had its answer.
+                Message::Begun { .. } | Message::Bounced { .. } | Message::BrokenOff { .. } => true,
+            };
+            if !keeps {
+                return;
+            }
+        }
+    }
+
+    fn say(&self, status: u16, why: &str, keep_alive: bool, come_back: Option<Duration>) -> bool {
+        self.client.write(plain(status, why, keep_alive, come_back).as_bytes()).is_ok() && keep_alive
+    }
+
+    /// Answers one request; whether the connection goes on.
+    fn answer(&mut self, head: &Head, body: Vec<u8>) -> bool {
+        let keeps = head.keep_alive && !self.shared.draining.load(Ordering::Acquire);
+        match (head.method.as_str(), head.path()) {
+            ("POST", call::PATH) => self.call(head, body, keeps),
+            ("GET", call::READY) => {
+                // A list that was known before does, where the registry is silent for long.
+                let listed = self.shared.listed.load(Ordering::Acquire);
+                let ready = listed || self.shared.start.elapsed() > Duration::from_secs(2);
+                if ready && !self.shared.draining.load(Ordering::Acquire) {
+                    self.say(200, "", keeps, None)
+                } else {
+                    self.say(503, "not ready", keeps, None)
+                }
+            }
+            ("GET", call::LIVE) => self.say(200, "", keeps, None),
+            _ => self.say(404, "there is nothing here", keeps, None),
+        }
+    }
+
+    fn call(&mut self, head: &Head, body: Vec<u8>, keeps: bool) -> bool {
+        let shared = self.shared.clone();
+        let call = match call::read(head, &body, &shared.names) {
+            Ok(call) => call,
+            Err(Refused { status, why }) => return self.say(status, why, false, None),
+        };
+        if !lock(&shared.ids).insert(call.id.clone()) {
+            return self.say(409, "the id is in use", false, None);
+        }
+        shared.in_hand.fetch_add(1, Ordering::SeqCst);
+        let in_hand = InHand { shared: &shared, id: call.id.clone() };
+        if shared.in_hand.load(Ordering::SeqCst) > shared.room.tasks() {
+            drop(in_hand);
+            return self.say(503, "too many requests", keeps, Some(Duration::from_millis(300)));
+        }
+        let host = head.text("host").unwrap_or_default().to_owned();
+        let task = Task::new((call.id, call.ask), head.target.clone(), host, body, self.sender.clone());
+        let task = Arc::new(task);
+        shared.posts.post(Post::Arrive(task.clone()));
+        let waited = catch_unwind(AssertUnwindSafe(|| self.wait_for_answer(&task, keeps)));
+        let (answer, keeps) = waited.unwrap_or_else(|_| {
+            // A stream that had begun ends without its last chunk, as does whatever else was under way.
+            tracing::error!(id = task.id, "a panic while answering: the task is broken off");
+            task.close();
+            shared.posts.post(Post::Gone(task.clone()));
+            ("broken off", false)
+        });
+        let ms = task.arrived.elapsed().as_millis() as u64;
+        tracing::debug!(id = task.id, answer, ms, "task ended");
+        keeps
+    }
+
+    /// The task's one final answer, by name, and whether the connection goes on.
+    fn wait_for_answer(&mut self, task: &Arc<Task>, keeps: bool) -> (&'static str, bool) {
+        loop {
+            let Ok(message) = self.inbox.recv() else { return ("client left", false) };
+            match message {
+                Message::Begun { id, begun } if Some(id) == task.place() => {
+                    let (answer, whole) = relay::relay(&self.shared, &self.client, *begun);
+                    return (answer, whole && keeps);
+                }
+                Message::Bounced { id, come_back } if Some(id) == task.place() => {
+                    let why = "no host can answer in time: ask again";
+                    return ("bounced", self.say(503, why, keeps, come_back));
+                }
+                Message::BrokenOff { id } if Some(id) == task.place() => {
+                    return ("broken off", self.say(500, "broken off: it may have been run", keeps, None));
+                }
+                Message::Left { .. } if task.close() => {
+                    self.shared.posts.post(Post::Gone(task.clone()));
+                    return ("client left", false);
+                }
+                // A shot's answer, a bounce or a break-off is on its way; writing it will show that nobody is there.
+                Message::Left { late } => self.waiting.push_back(Message::Left { late }),
+                Message::Begun { .. } | Message::Bounced { .. } | Message::BrokenOff { .. } => {}
+                other => self.waiting.push_back(other),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/hosts.rs
@@ -0,0 +1,134 @@
+//! The ways to hosts. A host that drains or is gone is closed to new shots the moment that is told, before any
+//! decision.
+
+use crate::owner::Post;
+use crate::{Shared, lock};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tulipstall::interface::Standing;
+use tulipstall_core::Input;
+use tulipstall_net::{Link, Pool};
+use tulipstall_platform::registry::List;
+
+/// The way to one process of a host.
+pub struct Way {
+    pub name: String,
+    pub pool: Pool,
+    born_ms: u64,
+    /// Drains or gone: nothing new is written to it.
+    closed: AtomicBool,
+    /// Not on the list any more.
+    gone: AtomicBool,
+}
+
+impl Way {
+    pub fn open(&self) -> bool {
+        !self.closed.load(Ordering::Acquire)
+    }
+
+    pub fn gone(&self) -> bool {
+        self.gone.load(Ordering::Acquire)
+    }
+
+    fn stands(&self, standing: Standing) {
+        self.closed.store(standing != Standing::Running, Ordering::Release);
+        self.gone.store(standing == Standing::Gone, Ordering::Release);
+        if standing != Standing::Running {
+            self.pool.clear();
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.pool.address()
+    }
+}
+
+pub struct Hosts {
+    ways: Mutex<BTreeMap<String, Arc<Way>>>,
+    idle_for: Duration,
+}
+
+/// Idle connections to one host: what a burst to one host leaves.
+const IDLE: usize = 32;
+
+impl Hosts {
+    pub fn new(idle_for: Duration) -> Self {
+        Hosts { ways: Mutex::default(), idle_for }
+    }
+
+    pub fn way(&self, name: &str) -> Option<Arc<Way>> {
+        lock(&self.ways).get(name).cloned()
+    }
+
+    /// Any running host but one.
+    pub fn other(&self, than: Option<&Way>) -> Option<Arc<Way>> {
+        let other = |way: &&Arc<Way>| way.open() && than.is_none_or(|than| way.name != than.name);
+        lock(&self.ways).values().find(other).cloned()
+    }
+
+    /// Lets go of idle connections that are too old.
+    pub fn trim(&self) {
+        let ways: Vec<Arc<Way>> = lock(&self.ways).values().cloned().collect();
+        ways.iter().for_each(|way| way.pool.trim());
+    }
+
+    /// Lets go of all idle connections.
+    pub fn clear(&self) {
+        lock(&self.ways).values().for_each(|way| way.pool.clear());
+    }
+
+    /// Keeps a connection for later, if there is room.
+    pub fn keep(&self, shared: &Shared, way: &Way, link: Link) {
+        if way.open() && shared.room.keeps(tulipstall_net::sockets_held()) {
+            way.pool.put(link);
+        }
+    }
+
+    /// Takes a list, whole or what changed.
+    pub fn apply(&self, shared: &Shared, list: &List, whole: bool) {
+        {
+            let mut ways = lock(&self.ways);
+            if whole {
+                let listed: std::collections::BTreeSet<&str> =
+                    list.hosts.iter().map(|line| line.host.as_str()).collect();
+                ways.retain(|name, way| {
+                    let stays = listed.contains(name.as_str());
+                    if !stays {
+                        way.stands(Standing::Gone);
+                    }
+                    stays
+                });
+            }
+            for line in &list.hosts {
+                let same = |way: &Arc<Way>| way.address() == line.dial && way.born_ms == line.born_ms;
+                let way = match ways.get(&line.host).filter(|way| same(way)) {
+                    Some(way) => way.clone(),
+                    None => Arc::new(Way {
+                        name: line.host.clone(),
+                        pool: Pool::new(line.dial, IDLE, self.idle_for),
+                        born_ms: line.born_ms,
+                        closed: AtomicBool::new(false),
+                        gone: AtomicBool::new(false),
+                    }),
+                };
+                way.stands(line.standing());
+                let before = if line.standing() == Standing::Gone {
+                    ways.remove(&line.host)
+                } else {
+                    ways.insert(line.host.clone(), way.clone())
+                };
+                // Another process than before: what was written to that one's connections would be lost.
+                if let Some(before) = before.filter(|before| !Arc::ptr_eq(before, &way)) {
+                    before.stands(Standing::Gone);
+                }
+            }
+        }
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+        let rows = list.hosts.iter().map(|line| line.row(now)).collect();
+        tracing::info!(seq = list.seq, whole, hosts = list.hosts.len(), "list taken");
+        shared.posts.post(Post::Told(Input::Listed { whole, rows }));
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,161 @@
+//! The dispatcher as the platform runs it: the platform's protocol on sockets. It feeds [`tulipstall_core::Core`] what
+//! happens and carries out what that asks for, like the messages front does; it decides nothing by itself. It listens
+//! on one address, writes no file, and gets its list of hosts from the platform's registry.
+
+mod front;
+mod hosts;
+mod owner;
+mod registry;
+mod relay;
+mod shot;
+mod task;
+
+use hosts::Hosts;
+use may::sync::{Semphore, mpsc};
+use owner::Post;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use std::{fs, io, thread};
+use tulipstall_core::Core;
+use tulipstall_net::{Link, Listener};
+use tulipstall_platform::call::Names;
+use tulipstall_platform::room::Room;
+use tulipstall_platform::start::Start;
+
+/// The way to the one owner of the decisions: a queue with so many places, first come first served.
+#[derive(Clone)]
+struct Posts {
+    sender: mpsc::Sender<Post>,
+    room: Arc<Semphore>,
+}
+
+impl Posts {
+    /// Waits for a place in the queue.
+    fn post(&self, post: Post) {
+        self.room.wait();
+        // The owner lives as long as the process.
+        let _ = self.sender.send(post);
+    }
+}
+
+struct Shared {
+    names: Names,
+    start: Instant,
+    posts: Posts,
+    hosts: Hosts,
+    room: Room,
+    connect: Duration,
+    release: Duration,
+    /// Stopping: connections end with their answer.
+    draining: AtomicBool,
+    /// Tasks taken whose client has not had its last byte yet.
+    in_hand: AtomicUsize,
+    /// Their ids: one that is in hand is no other client's to use.
+    ids: Mutex<HashSet<String>>,
+    clients: front::Clients,
+    /// Where the registry is, and the connection to it.
+    registry: Mutex<(SocketAddr, Option<Link>)>,
+    listed: AtomicBool,
+}
+
+impl Shared {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
+
+/// Locks what is held for moments only; what a panic left is as good as before.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Bytes of a coroutine's stack, touched only as deep as used: two times a read buffer and what a parser takes.
+const STACK: usize = 128 << 10;
+/// Posts that may wait for the owner: some for each task that there is room for.
+const POSTS: usize = 4096;
+
+/// How long a stopping dispatcher still takes what comes: the platform's front sends new connections for 0.2 to 0.4 s.
+const STILL_TAKES: Duration = Duration::from_millis(450);
+
+fn read(path: &Path) -> Result<Start, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    Start::read(&text)
+}
+
+/// Runs until SIGTERM or SIGINT and until all that was taken is answered.
+pub fn run(config: PathBuf) -> Result<(), String> {
+    let told = |error: io::Error| error.to_string();
+    // Before anything else: by themselves these signals end the process.
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(told)?;
+    let start = read(&config)?;
+    // One worker: the platform gives a part of one core.
+    tulipstall_net::set_up(1, STACK);
+    let (sender, receiver) = mpsc::channel();
+    let span = |name: &str, usual: Duration| start.terms.span(name).unwrap_or(usual);
+    // Past half of the time after which hosts close idle connections a request could cross that.
+    let idle_for = span("allowed.keepalive_us", Duration::from_secs(10)) / 2;
+    let shared = Arc::new(Shared {
+        names: Names::new(&start.terms),
+        start: Instant::now(),
+        posts: Posts { sender, room: Arc::new(Semphore::new(POSTS)) },
+        hosts: Hosts::new(idle_for),
+        room: Room::new(start.limits.sockets),
+        connect: span("allowed.connect_timeout_us", Duration::from_millis(250)),
+        release: span("service.release_us", Duration::from_secs(1)),
+        draining: AtomicBool::new(false),
+        in_hand: AtomicUsize::new(0),
+        ids: Mutex::default(),
+        clients: front::Clients::default(),
+        registry: Mutex::new((start.discovery, None)),
+        listed: AtomicBool::new(false),
+    });
+    owner::start(shared.clone(), receiver, Core::new(start.seed, start.terms.clone())).map_err(told)?;
+    let listener = Arc::new(Listener::bind(start.listen).map_err(told)?);
+    if let Some(known) = &start.known {
+        shared.hosts.apply(&shared, known, true);
+    }
+    registry::start(shared.clone());
+    front::start(shared.clone(), listener.clone());
+    tracing::info!(name = start.name, address = %start.listen, sockets = start.limits.sockets, "runs");
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        again(&shared, &config);
+    }
+    drain(&shared, &listener);
+    tracing::info!("stopped");
+    Ok(())
+}
+
+/// The configuration has been replaced: the registry may be elsewhere.
+fn again(shared: &Shared, config: &Path) {
+    // It may be found half written: a few looks.
+    for _ in 0..20 {
+        match read(config) {
+            Ok(start) => {
+                tracing::info!(registry = %start.discovery, "configuration read again");
+                return registry::moved(shared, start.discovery);
+            }
+            Err(why) => tracing::warn!(why, "the configuration is not taken"),
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn drain(shared: &Shared, listener: &Listener) {
+    shared.draining.store(true, Ordering::SeqCst);
+    tracing::info!(in_hand = shared.in_hand.load(Ordering::SeqCst), "stops");
+    thread::sleep(STILL_TAKES);
+    listener.close();
+    shared.clients.close_idle();
+    while shared.in_hand.load(Ordering::SeqCst) > 0 || shared.clients.count() > 0 {
+        thread::sleep(Duration::from_millis(20));
+        shared.clients.close_idle();
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,162 @@
+//! The one owner of the decisions: takes what happened in order from a bounded queue, hands out what to do.
+
+use crate::Shared;
+use crate::front::Message;
+use crate::hosts::Way;
+use crate::shot::{self, Shot};
+use crate::task::{Out, Task};
+use may::sync::mpsc::Receiver;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tulipstall_core::{Core, Errand, Input, Output, TaskId};
+use tulipstall_net::spawn;
+
+pub enum Post {
+    Arrive(Arc<Task>),
+    Gone(Arc<Task>),
+    /// For the decisions as it stands.
+    Told(Input),
+    /// A read ended so that its host may hold a state that nobody knows of.
+    Unsure(TaskId, u32),
+}
+
+pub fn start(shared: Arc<Shared>, posts: Receiver<Post>, core: Core) -> io::Result<()> {
+    let mut owner = Owner { shared, core, tasks: Vec::new(), ways: Vec::new(), out: Vec::new() };
+    // A thread: its waits have time-outs, which are not sound in coroutines (docs/coroutines.md).
+    std::thread::Builder::new().name("owner".into()).spawn(move || owner.run(&posts))?;
+    Ok(())
+}
+
+struct InHand {
+    id: TaskId,
+    task: Arc<Task>,
+    shots: Vec<Arc<Out>>,
+    unsure: Option<u32>,
+}
+
+struct Owner {
+    shared: Arc<Shared>,
+    core: Core,
+    tasks: Vec<Option<InHand>>,
+    ways: Vec<Option<Arc<Way>>>,
+    out: Vec<Output>,
+}
+
+impl Owner {
+    fn run(&mut self, posts: &Receiver<Post>) {
+        loop {
+            let now = self.shared.now();
+            // An hour: nothing is timed, so anything will do.
+            let wait = self.core.next_timer().map_or(Duration::from_secs(3600), |at| at.saturating_sub(now));
+            let post = if wait.is_zero() { posts.try_recv().ok() } else { posts.recv_timeout(wait).ok() };
+            if post.is_some() {
+                self.shared.posts.room.post();
+            }
+            let mut out = std::mem::take(&mut self.out);
+            self.decide(self.shared.now(), post, &mut out);
+            for output in out.drain(..) {
+                self.carry_out(output);
+            }
+            self.core.carried_out();
+            self.out = out;
+        }
+    }
+
+    fn decide(&mut self, now: Duration, post: Option<Post>, out: &mut Vec<Output>) {
+        let input = match post {
+            None => Input::Tick,
+            Some(Post::Arrive(task)) => return self.arrive(now, task, out),
+            Some(Post::Gone(task)) => match task.place() {
+                Some(id) => Input::Gone { task: id },
+                None => return,
+            },
+            Some(Post::Told(input)) => input,
+            Some(Post::Unsure(id, host)) => {
+                if let Some(held) = self.held(id) {
+                    held.unsure = Some(host);
+                }
+                return;
+            }
+        };
+        self.core.on(now, input, out);
+    }
+
+    fn arrive(&mut self, now: Duration, task: Arc<Task>, out: &mut Vec<Output>) {
+        self.core.on(now, Input::Tick, out);
+        let id = self.core.enter();
+        task.set_place(id);
+        let place = id.place as usize;
+        self.tasks.resize_with(self.tasks.len().max(place + 1), || None);
+        self.tasks[place] = Some(InHand { id, task: task.clone(), shots: Vec::new(), unsure: None });
+        self.core.arrive(now, id, &task.ask, out);
+    }
+
+    fn held(&mut self, id: TaskId) -> Option<&mut InHand> {
+        self.tasks.get_mut(id.place as usize)?.as_mut().filter(|held| held.id == id)
+    }
+
+    /// The way to a host, by its index.
+    fn way(&mut self, host: u32) -> Option<Arc<Way>> {
+        let at = host as usize;
+        self.ways.resize_with(self.ways.len().max(at + 1), || None);
+        // A host that came back elsewhere has another way.
+        if self.ways[at].as_ref().is_none_or(|way| !way.open()) {
+            self.ways[at] = self.core.host_name(host).and_then(|name| self.shared.hosts.way(name));
+        }
+        self.ways[at].clone()
+    }
+
+    fn release(&mut self, host: u32, id: String) {
+        let (way, shared) = (self.way(host), self.shared.clone());
+        spawn(move || shot::release(&shared, way, &id));
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send { task, shot, host, errand, until, .. } => {
+                let way = self.way(host);
+                let shared = self.shared.clone();
+                let Some(in_hand) = self.held(task) else { return };
+                let out = Arc::new(Out::default());
+                in_hand.shots.push(out.clone());
+                let (about, until) = (in_hand.task.clone(), shared.start + until);
+                let reads = errand == Errand::Read;
+                let shot = Shot { shared, id: task, task: about, number: shot, host, reads, out, until };
+                spawn(move || shot.run(way));
+            }
+            Output::Cancel { task, shot } => {
+                if let Some(out) = self.held(task).and_then(|held| held.shots.get(shot as usize)) {
+                    out.cancel();
+                }
+            }
+            // A state has its task's id.
+            Output::Release { held } => self.release(held.host, held.state),
+            Output::Bounce { task, come_back } => {
+                let Some(held) = self.held(task) else { return };
+                if held.task.close() {
+                    let _ = held.task.inbox.send(Message::Bounced { id: task, come_back });
+                }
+            }
+            Output::BreakOff { task } => {
+                let Some(held) = self.held(task) else { return };
+                if held.task.close() {
+                    let _ = held.task.inbox.send(Message::BrokenOff { id: task });
+                }
+            }
+            // The platform allows none where this runs.
+            Output::Probe { .. } | Output::Ran { .. } => {}
+            Output::Note { host, what } => {
+                tracing::info!(host = self.core.host_name(host).unwrap_or("a host"), "{what}");
+            }
+            Output::Forget { task } => {
+                let Some(held) = self.held(task) else { return };
+                let (unsure, name) = (held.unsure, held.task.id.clone());
+                self.tasks[task.place as usize] = None;
+                if let Some(host) = unsure {
+                    self.release(host, name);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/registry.rs
@@ -0,0 +1,96 @@
+//! Follows the registry: the whole list once a connection is up, then what changes, for as long as it answers.
+
+use crate::{Shared, lock};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tulipstall_http1::Limits;
+use tulipstall_net::{Fault, Link, Reply, spawn};
+use tulipstall_platform::registry::{LIST_BYTES, List, question, read};
+
+/// How long the registry may wait for news: a lost connection is found soon after.
+const WAIT: Duration = Duration::from_secs(5);
+/// How much later than that its answer may come, and one that need not wait.
+const LATE: Duration = Duration::from_millis(1500);
+/// Between two tries at a registry that is away: inside the 200 ms that a watch may pause.
+const PAUSE: Duration = Duration::from_millis(100);
+
+const ANSWER: Limits = Limits { head: 8192, line: 4096, headers: 64, body: LIST_BYTES };
+
+pub fn start(shared: Arc<Shared>) {
+    spawn(move || {
+        loop {
+            let address = lock(&shared.registry).0;
+            if let Err(fault) = follow(&shared, address) {
+                tracing::warn!(registry = %address, ?fault, "the registry does not answer");
+            }
+            if lock(&shared.registry).0 == address {
+                tulipstall_net::sleep(PAUSE);
+            }
+        }
+    });
+}
+
+/// The registry is at another address from now on.
+pub fn moved(shared: &Shared, address: SocketAddr) {
+    let mut registry = lock(&shared.registry);
+    if registry.0 != address
+        && let Some(link) = registry.1.take()
+    {
+        link.shut();
+    }
+    registry.0 = address;
+}
+
+fn ask(link: &mut Option<Link>, question: &str, within: Duration) -> Result<List, Fault> {
+    let (link_now, until) = (link.take().ok_or(Fault::Broken)?, Instant::now() + within);
+    link_now.write(question.as_bytes(), until)?;
+    let mut reply = Reply::new(link_now, ANSWER);
+    let head = reply.head(until)?;
+    let body = reply.whole_body(until)?;
+    if head.status != 200 {
+        return Err(Fault::Rubbish);
+    }
+    let list = read(&body).map_err(|why| {
+        tracing::warn!(why, "a list is not taken");
+        Fault::Rubbish
+    })?;
+    if reply.reader.reusable() {
+        *link = Some(reply.link);
+    }
+    Ok(list)
+}
+
+/// Until something fails or the registry is elsewhere.
+fn follow(shared: &Shared, address: SocketAddr) -> Result<(), Fault> {
+    let mut link = None;
+    let mut seen = None;
+    loop {
+        if link.is_none() {
+            let new = Link::connect(&address, shared.connect)?;
+            let mut registry = lock(&shared.registry);
+            if registry.0 != address {
+                return Ok(());
+            }
+            registry.1 = Some(new.clone());
+            link = Some(new);
+        }
+        let (newer_than, within) = match seen {
+            None => (None, LATE),
+            Some(seq) => (Some((seq, WAIT)), WAIT + LATE),
+        };
+        let list = match ask(&mut link, &question(address, newer_than), within) {
+            Ok(list) => list,
+            Err(_) if lock(&shared.registry).0 != address => return Ok(()),
+            Err(fault) => return Err(fault),
+        };
+        let whole = list.whole || seen.is_none();
+        // Nothing new: the wait was over.
+        if whole || !list.hosts.is_empty() {
+            shared.hosts.apply(shared, &list, whole);
+        }
+        seen = Some(list.seq);
+        shared.listed.store(true, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay.rs
@@ -0,0 +1,73 @@
+//! A begun stream on its way from its host to its client, in the client's coroutine: a client that does not read
+//! holds its own host back and nobody else's.
+
+use crate::Shared;
+use crate::front::Client;
+use crate::shot::{Begun, give_back};
+use std::time::{Duration, Instant};
+use tulipstall::interface::Outcome;
+use tulipstall_core::End;
+use tulipstall_http1::body::{LAST_CHUNK, write_chunk};
+use tulipstall_net::Fault;
+
+const HEAD: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// How silent a host may be under a stream. A slow one must not be cut off, and nobody can go on with its stream.
+const SILENT: Duration = Duration::from_secs(20);
+/// One that is gone from the list: its last bytes are under way at most.
+const GONE: Duration = Duration::from_secs(2);
+/// How long the end of a stream may take once its mark has come: the platform wants it passed on within a second.
+const END: Duration = Duration::from_millis(800);
+
+/// Passes a stream on; whether it came whole and the client's connection is good for more.
+pub fn relay(shared: &Shared, client: &Client, mut begun: Begun) -> (&'static str, bool) {
+    let mut out = Vec::with_capacity(begun.bytes.len() + 256);
+    out.extend_from_slice(HEAD);
+    let (mut bytes, mut got) = (std::mem::take(&mut begun.bytes), Vec::new());
+    let mut last = Instant::now();
+    client.streams(Some(&begun.reply.link));
+    let (outcome, said) = loop {
+        write_chunk(&bytes, &mut out);
+        if begun.ended && begun.events.whole() {
+            out.extend_from_slice(LAST_CHUNK);
+        }
+        if !out.is_empty() && client.write(&out).is_err() {
+            // The host did nothing wrong.
+            break (Outcome::Cancelled, "client left");
+        }
+        if begun.ended {
+            let whole = begun.events.whole();
+            break if whole { (Outcome::Delivered, "delivered") } else { (Outcome::Broken, "cut short") };
+        }
+        out.clear();
+        bytes.clear();
+        got.clear();
+        let silent = match (begun.events.done, begun.way.gone()) {
+            (true, _) => END,
+            (false, true) => GONE,
+            (false, false) => SILENT,
+        };
+        // In steps, as a host may be gone only while it is waited for.
+        match begun.reply.body(&mut got, last + silent) {
+            Ok(ended) => begun.ended = ended,
+            Err(_) if client.left() => break (Outcome::Cancelled, "client left"),
+            Err(Fault::TimedOut) => break (Outcome::Broken, "silent"),
+            Err(Fault::Rubbish) => break (Outcome::Error, "spoilt"),
+            Err(_) => break (Outcome::Broken, "broken"),
+        }
+        last = Instant::now();
+        if begun.events.take(&got, &mut bytes).is_err() {
+            break (Outcome::Error, "spoilt");
+        }
+    };
+    client.streams(None);
+    let whole = outcome == Outcome::Delivered;
+    if whole {
+        give_back(shared, &begun.way, begun.reply);
+    } else {
+        begun.reply.link.shut();
+    }
+    begun.shot.close(outcome, End::default());
+    (said, whole)
+}
--- /dev/null
+++ b/crates/node/src/shot.rs
@@ -0,0 +1,225 @@
+//! One shot at one host, from the connection to what its end proves. Nothing is repeated here: what to do after an
+//! end is decided above.
+
+use crate::front::Message;
+use crate::hosts::Way;
+use crate::owner::Post;
+use crate::task::{Out, Task};
+use crate::{Shared, lock};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tulipstall::interface::Outcome;
+use tulipstall_core::{End, Input, TaskId};
+use tulipstall_net::{Fault, Reply};
+use tulipstall_platform::host::{self, ANSWER, Events, Says};
+
+pub struct Shot {
+    pub shared: Arc<Shared>,
+    pub id: TaskId,
+    pub task: Arc<Task>,
+    pub number: u32,
+    pub host: u32,
+    pub reads: bool,
+    pub out: Arc<Out>,
+    pub until: Instant,
+}
+
+/// A stream whose first event has come, handed to the client's coroutine with all that it needs to end it.
+pub struct Begun {
+    pub shot: Closing,
+    pub way: Arc<Way>,
+    pub reply: Reply,
+    pub events: Events,
+    /// What has come and was not passed on yet.
+    pub bytes: Vec<u8>,
+    pub ended: bool,
+}
+
+/// Owes the decisions the end of a shot: told as broken if dropped without, as by a panic.
+pub struct Closing {
+    shared: Arc<Shared>,
+    id: TaskId,
+    number: u32,
+    told: bool,
+}
+
+impl Closing {
+    pub fn close(mut self, outcome: Outcome, end: End) {
+        self.tell(outcome, end);
+    }
+
+    fn tell(&mut self, outcome: Outcome, end: End) {
+        self.told = true;
+        let (task, shot) = (self.id, self.number);
+        self.shared.posts.post(Post::Told(Input::Closed { task, shot, outcome, end }));
+    }
+}
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        if !self.told {
+            self.tell(Outcome::Broken, End::default());
+        }
+    }
+}
+
+enum Done {
+    Ended(Outcome, End),
+    Begins(Box<(Reply, Events, Vec<u8>, bool)>),
+}
+
+/// No answer, or none that can be read: the host may have begun.
+fn unanswered(fault: Fault) -> Outcome {
+    match fault {
+        Fault::TimedOut => Outcome::TimedOut,
+        Fault::Rubbish => Outcome::Error,
+        Fault::Broken | Fault::NoConnection => Outcome::Broken,
+    }
+}
+
+fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
+
+/// Puts a connection back whose answer has ended in good order.
+pub fn give_back(shared: &Shared, way: &Way, reply: Reply) {
+    if reply.reader.reusable() {
+        shared.hosts.keep(shared, way, reply.link);
+    }
+}
+
+impl Shot {
+    pub fn run(self, way: Option<Arc<Way>>) {
+        let closing = Closing { shared: self.shared.clone(), id: self.id, number: self.number, told: false };
+        let Some(way) = way else { return closing.close(Outcome::Moot, End::default()) };
+        let sent = Instant::now();
+        let done = self.shoot(&way);
+        self.out.hold(None);
+        match done {
+            Ok(Done::Ended(outcome, end)) => {
+                self.note(&way, outcome, sent, end.kept_tokens);
+                closing.close(outcome, end);
+            }
+            Err(outcome) => {
+                let outcome = self.seen(outcome);
+                self.note(&way, outcome, sent, 0);
+                if self.reads && !outcome.never_ran() {
+                    // It may have been read all the same, and then a state waits there.
+                    self.shared.posts.post(Post::Unsure(self.id, self.host));
+                }
+                closing.close(outcome, End::default());
+            }
+            Ok(Done::Begins(begins)) => {
+                if !self.out.begin() || !self.task.take(self.number) {
+                    // Another answer was first: this one is thrown away, and its writer told by the end.
+                    begins.0.link.shut();
+                    return closing.close(Outcome::Cancelled, End::default());
+                }
+                self.note(&way, Outcome::Delivered, sent, 0);
+                self.shared.posts.post(Post::Told(Input::Began { task: self.id, shot: self.number }));
+                let (reply, events, bytes, ended) = *begins;
+                let begun = Begun { shot: closing, way, reply, events, bytes, ended };
+                let _ = self.task.inbox.send(Message::Begun { id: self.id, begun: Box::new(begun) });
+            }
+        }
+    }
+
+    fn note(&self, way: &Way, outcome: Outcome, sent: Instant, kept: u32) {
+        let (ms, after) = (sent.elapsed().as_millis() as u64, (sent - self.task.arrived).as_millis() as u64);
+        let (id, host) = (&self.task.id, &way.name);
+        tracing::debug!(id, shot = self.number, host, reads = self.reads, ?outcome, after, ms, kept, "shot");
+    }
+
+    /// A shot that was called off ends so, whatever its socket said.
+    fn seen(&self, outcome: Outcome) -> Outcome {
+        match outcome {
+            Outcome::Moot | Outcome::NoConnection => outcome,
+            _ if self.out.cancelled() => Outcome::Cancelled,
+            _ => outcome,
+        }
+    }
+
+    fn shoot(&self, way: &Way) -> Result<Done, Outcome> {
+        // Told to drain or gone since it was decided, or called off: provably never sent.
+        let may = || (way.open() && !self.out.cancelled()).then_some(()).ok_or(Outcome::Moot);
+        may()?;
+        if left(self.until).is_zero() {
+            return Err(Outcome::Moot);
+        }
+        let link =
+            way.pool.take(self.shared.connect.min(left(self.until))).map_err(|_| Outcome::NoConnection)?;
+        self.out.hold(Some(&link));
+        may()?;
+        let task = &self.task;
+        let request = host::request(&task.target, &task.host, &task.id, left(self.until), &task.body);
+        // Until its last byte is written nobody runs it.
+        link.write(&request, self.until).map_err(|_| Outcome::NoConnection)?;
+        let mut reply = Reply::new(link, ANSWER);
+        let head = reply.head(self.until).map_err(unanswered)?;
+        match host::says(&head) {
+            Says::Streams => self.first_event(reply),
+            Says::Read => {
+                let body = reply.whole_body(self.until).map_err(unanswered)?;
+                give_back(&self.shared, way, reply);
+                let Some(kept_tokens) = host::kept(&body) else { return Err(Outcome::Error) };
+                let state = Some(task.id.clone());
+                let end = End { kept_tokens, prompt_tokens: task.ask.prompt_tokens, state, ..End::default() };
+                Ok(Done::Ended(Outcome::Read, end))
+            }
+            Says::Ended(outcome) => {
+                // The answer stands in the head; the rest only says whether the connection is good for more.
+                if reply.whole_body(self.until.min(Instant::now() + self.shared.connect)).is_ok() {
+                    give_back(&self.shared, way, reply);
+                }
+                Err(outcome)
+            }
+        }
+    }
+
+    fn first_event(&self, mut reply: Reply) -> Result<Done, Outcome> {
+        let (mut events, mut bytes, mut got) = (Events::default(), Vec::new(), Vec::new());
+        loop {
+            got.clear();
+            let ended = reply.body(&mut got, self.until).map_err(unanswered)?;
+            events.take(&got, &mut bytes).map_err(|_| Outcome::Error)?;
+            if events.any {
+                return Ok(Done::Begins(Box::new((reply, events, bytes, ended))));
+            }
+            if ended {
+                return Err(Outcome::Broken);
+            }
+        }
+    }
+}
+
+/// Lets go of what is held for a task. Any host can be told; the one that read is asked first. The tries hold against
+/// a connection that breaks or a host that is away.
+pub fn release(shared: &Shared, way: Option<Arc<Way>>, id: &str) {
+    // A tenth of the time for letting go each: the decisions leave three tenths of it.
+    let within = shared.release / 10;
+    let mut next = way;
+    for _ in 0..3 {
+        let Some(way) = next.take().or_else(|| shared.hosts.other(None)) else { break };
+        if ask(shared, &way, &host::release(&way.name, id), within).is_some() {
+            return;
+        }
+        next = shared.hosts.other(Some(&way));
+    }
+    tracing::warn!(id, "what is held could not be let go of");
+}
+
+fn ask(shared: &Shared, way: &Way, request: &str, within: Duration) -> Option<()> {
+    let until = Instant::now() + within;
+    let link = way.pool.take(shared.connect.min(within)).ok()?;
+    link.write(request.as_bytes(), until).ok()?;
+    let mut reply = Reply::new(link, ANSWER);
+    let head = reply.head(until).ok()?;
+    reply.whole_body(until).ok()?;
+    give_back(shared, way, reply);
+    (head.status < 300).then_some(())
+}
+
+/// Frees the id of a task that is over.
+pub fn over(shared: &Shared, id: &str) {
+    lock(&shared.ids).remove(id);
+}
--- /dev/null
+++ b/crates/node/src/task.rs
@@ -0,0 +1,107 @@
+//! A task and its shots as the coroutines share them: who may answer the client is settled by one exchange.
+
+use crate::front::Message;
+use crate::lock;
+use may::sync::mpsc::Sender;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
+use std::time::Instant;
+use tulipstall_core::{Ask, TaskId};
+use tulipstall_net::Link;
+
+/// Nobody has answered yet.
+const OPEN: u32 = 0;
+/// The owner has: bounced or broken off, or the client has left.
+const CLOSED: u32 = 1;
+/// From here on: the shot whose answer the client gets.
+const SHOT: u32 = 2;
+
+pub struct Task {
+    pub id: String,
+    /// What is passed on to hosts as it came.
+    pub target: String,
+    pub host: String,
+    pub body: Vec<u8>,
+    pub ask: Ask,
+    pub arrived: Instant,
+    pub inbox: Sender<Message>,
+    place: AtomicU64,
+    answer: AtomicU32,
+}
+
+impl Task {
+    pub fn new(
+        (id, ask): (String, Ask),
+        target: String,
+        host: String,
+        body: Vec<u8>,
+        inbox: Sender<Message>,
+    ) -> Self {
+        let (place, answer) = (AtomicU64::new(u64::MAX), AtomicU32::new(OPEN));
+        Task { id, target, host, body, ask, arrived: Instant::now(), inbox, place, answer }
+    }
+
+    pub fn set_place(&self, id: TaskId) {
+        self.place.store(u64::from(id.place) << 32 | u64::from(id.turn), Ordering::Release);
+    }
+
+    /// Its place with the decisions, once it has one.
+    pub fn place(&self) -> Option<TaskId> {
+        let place = self.place.load(Ordering::Acquire);
+        (place != u64::MAX).then_some(TaskId { place: (place >> 32) as u32, turn: place as u32 })
+    }
+
+    fn settle(&self, answer: u32) -> bool {
+        self.answer.compare_exchange(OPEN, answer, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
+    /// The final answer is not a shot's; false if a shot's answer has begun.
+    pub fn close(&self) -> bool {
+        self.settle(CLOSED)
+    }
+
+    /// This shot's answer is the client's; false if there is another answer.
+    pub fn take(&self, shot: u32) -> bool {
+        self.settle(SHOT + shot)
+    }
+}
+
+const PENDING: u8 = 0;
+const BEGUN: u8 = 1;
+const CANCELLED: u8 = 2;
+
+/// A shot that is out.
+#[derive(Default)]
+pub struct Out {
+    state: AtomicU8,
+    link: Mutex<Option<Link>>,
+}
+
+impl Out {
+    fn settle(&self, state: u8) -> bool {
+        self.state.compare_exchange(PENDING, state, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
+    /// Calls it off, unless its answer has begun.
+    pub fn cancel(&self) {
+        if self.settle(CANCELLED)
+            && let Some(link) = &*lock(&self.link)
+        {
+            link.shut();
+        }
+    }
+
+    /// Its answer begins; false if it was called off before.
+    pub fn begin(&self) -> bool {
+        self.settle(BEGUN)
+    }
+
+    pub fn cancelled(&self) -> bool {
+        self.state.load(Ordering::Acquire) == CANCELLED
+    }
+
+    /// The connection that it goes over, or none any more.
+    pub fn hold(&self, link: Option<&Link>) {
+        *lock(&self.link) = link.cloned();
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,11 @@
+//! The platform's protocol as codecs: what is told at start, the registry's lists, clients' calls and hosts' answers.
+//! No socket, no clock, no chance; every step is bounded.
+
+pub mod call;
+pub mod host;
+pub mod registry;
+pub mod room;
+pub mod start;
+mod terms;
+
+pub use terms::terms;
--- /dev/null
+++ b/crates/platform/src/room.rs
@@ -0,0 +1,63 @@
+//! Which connections there is room for. A dispatcher has so many descriptors; whoever says nothing must not take
+//! them from those who ask, nor clients from hosts. Decided here from counts and times alone.
+
+use std::time::Duration;
+
+/// Held beside connections: standard streams, the listener, event queues, the registry, a signal's pipe.
+const OTHERS: usize = 24;
+
+/// A new connection that says nothing is closed, and one that takes longer for a request: the platform wants either
+/// answered within 3 s, and a sound client sends at once.
+pub const SAYS_NOTHING: Duration = Duration::from_millis(1500);
+pub const REQUEST: Duration = Duration::from_millis(2000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    sockets: usize,
+}
+
+/// A client's connection as far as it matters here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Idle {
+    pub since: Duration,
+    /// It has been answered before: its client may well ask again.
+    pub known: bool,
+}
+
+impl Room {
+    pub fn new(sockets: usize) -> Self {
+        Room { sockets: sockets.saturating_sub(OTHERS).max(8) }
+    }
+
+    /// Half for clients: each task in hand has a connection to a client and one to a host.
+    pub fn clients(&self) -> usize {
+        self.sockets / 2
+    }
+
+    /// Tasks in hand: with room beside them for clients who only connect.
+    pub fn tasks(&self) -> usize {
+        self.sockets * 2 / 5
+    }
+
+    /// How long a connection stays open between requests: while less than half of the clients' room is taken there
+    /// is no need to close it.
+    pub fn idle(&self, clients: usize) -> Duration {
+        Duration::from_millis(if clients * 2 < self.clients() { 10_000 } else { 2500 })
+    }
+
+    /// Whether a connection to a host is kept for later with so many sockets held.
+    pub fn keeps(&self, held: usize) -> bool {
+        held * 4 < self.sockets * 3
+    }
+
+    /// Whether a new client can be taken as things are; if not, somebody must go first.
+    pub fn takes(&self, clients: usize, held: usize) -> bool {
+        clients < self.clients() && held * 8 < self.sockets * 7
+    }
+
+    /// Who goes for a new client: of those without a request, who never asked before those who did, then who has been
+    /// silent for longest. None may, if all have a request.
+    pub fn goes(&self, idle: impl Iterator<Item = (usize, Idle)>) -> Option<usize> {
+        idle.min_by_key(|(_, about)| (about.known, about.since)).map(|(at, _)| at)
+    }
+}
--- a/adapter/src/words.rs
+++ b/crates/platform/src/terms.rs
@@ -1,4 +1,5 @@
-//! The wire's words for what is told at start, turned into the house's words. Nothing is decided here.
+//! The platform's words for what is told at start, on its wire and in its configuration alike, turned into the
+//! house's words. Nothing is decided here.
 
 use serde_json::Value;
 use tulipstall::interface::{Term, Terms};
