Make room for a client once it has come, and count it at once

Excluded: the decisions (no bounce among task ends), the bound on tasks in hand (some 40 of 195), descriptors (310 of 512). A log line at each refusal: 1,081 times 'no room for a client' at 243 of 244 connections. To blame: front::start made room before it waited in accept, when there still was a place, and the client accepted before was counted only once its coroutine ran; the second of the two was refused while dozens of idle connections stayed.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -65,6 +65,18 @@
 }
 
 impl Client {
+    fn new(link: Link) -> Arc<Client> {
+        Arc::new(Client {
+            link,
+            left: AtomicBool::new(false),
+            busy: AtomicUsize::new(0),
+            answered: AtomicUsize::new(0),
+            host: Mutex::new(None),
+            since: Mutex::new(Instant::now()),
+            ahead: Semphore::new(PIPELINED),
+        })
+    }
+
     pub fn write(&self, bytes: &[u8]) -> Result<(), Fault> {
         self.link.write(bytes, Instant::now() + STALL)
     }
@@ -95,6 +107,10 @@
 }
 
 impl Clients {
+    fn enter(&self, client: Arc<Client>) -> usize {
+        lock(&self.open).insert(client)
+    }
+
     pub fn count(&self) -> usize {
         lock(&self.open).len()
     }
@@ -132,34 +148,29 @@
     let about = shared.clone();
     spawn(move || {
         while !listener.is_closed() {
-            let held = sockets_held();
-            let clients = shared.clients.count();
-            if !shared.room.takes(clients, held) {
-                let made = shared.clients.make_room(&shared);
-                if !made && clients < shared.room.clients() {
-                    // Held by what has just been shut, or kept idle towards hosts.
-                    shared.hosts.clear();
-                }
-                // Whoever goes gives its descriptor back within moments.
-                tulipstall_net::sleep(Duration::from_millis(4));
-                if !shared.room.takes(shared.clients.count(), sockets_held()) && made {
-                    continue;
-                }
-            }
             let Ok((link, _)) = listener.accept() else {
                 // Out of descriptors, most likely: a pause lets some go.
+                shared.hosts.clear();
                 tulipstall_net::sleep(Duration::from_millis(10));
                 continue;
             };
-            if shared.clients.count() >= shared.room.clients() {
-                let _ = link.write_now(
-                    &plain(503, "too many connections", false, Some(Duration::from_millis(200))).into_bytes(),
-                );
+            let (clients, held) = (shared.clients.count() + 1, sockets_held());
+            // Once it is here: whoever makes room for one that may come later is refused what it made.
+            let full = !shared.room.takes(clients, held);
+            if full && !shared.clients.make_room(&shared) {
+                tracing::debug!(clients, held, "no room for a client");
+                let come_back = Some(Duration::from_millis(200));
+                let _ = link.write_now(plain(503, "too many connections", false, come_back).as_bytes());
                 link.shut();
                 continue;
             }
-            let shared = shared.clone();
-            spawn(move || serve(&shared, link));
+            let client = Client::new(link);
+            let out = CountOut { shared: shared.clone(), at: shared.clients.enter(client.clone()) };
+            spawn(move || serve(&out.shared, client));
+            if full {
+                // Whoever goes gives its descriptor back within moments.
+                tulipstall_net::sleep(Duration::from_millis(2));
+            }
         }
     });
     spawn(move || {
@@ -213,19 +224,8 @@
     }
 }
 
-fn serve(shared: &Arc<Shared>, link: Link) {
+fn serve(shared: &Arc<Shared>, client: Arc<Client>) {
     let (sender, inbox) = channel();
-    let client = Arc::new(Client {
-        link,
-        left: AtomicBool::new(false),
-        busy: AtomicUsize::new(0),
-        answered: AtomicUsize::new(0),
-        host: Mutex::new(None),
-        since: Mutex::new(Instant::now()),
-        ahead: Semphore::new(PIPELINED),
-    });
-    let at = lock(&shared.clients.open).insert(client.clone());
-    let _out = CountOut { shared: shared.clone(), at };
     let (about, reading, to) = (shared.clone(), client.clone(), sender.clone());
     spawn(move || {
         let end = read(&about, &reading, &to);
@@ -338,6 +338,11 @@
     }
 
     fn say(&self, status: u16, why: &str, keep_alive: bool, come_back: Option<Duration>) -> bool {
+        if status != 200 {
+            let (clients, in_hand) =
+                (self.shared.clients.count(), self.shared.in_hand.load(Ordering::Relaxed));
+            tracing::debug!(status, why, clients, in_hand, held = sockets_held(), "refused");
+        }
         self.client.write(plain(status, why, keep_alive, come_back).as_bytes()).is_ok() && keep_alive
     }
 
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -39,10 +39,10 @@
         self.sockets * 2 / 5
     }
 
-    /// How long a connection stays open between requests: while less than half of the clients' room is taken there
-    /// is no need to close it.
+    /// How long a connection stays open between requests: while less than a quarter of the clients' room is taken
+    /// there is no need to close it; else a little over the 2 s that the platform's clients may count on.
     pub fn idle(&self, clients: usize) -> Duration {
-        Duration::from_millis(if clients * 2 < self.clients() { 10_000 } else { 2500 })
+        Duration::from_millis(if clients * 4 < self.clients() { 10_000 } else { 2500 })
     }
 
     /// Whether a connection to a host is kept for later with so many sockets held.
@@ -50,9 +50,9 @@
         held * 4 < self.sockets * 3
     }
 
-    /// Whether a new client can be taken as things are; if not, somebody must go first.
+    /// Whether there is room for so many clients, the newest included; if not, somebody must go.
     pub fn takes(&self, clients: usize, held: usize) -> bool {
-        clients < self.clients() && held * 8 < self.sockets * 7
+        clients <= self.clients() && held * 8 < self.sockets * 7
     }
 
     /// Who goes for a new client: of those without a request, who never asked before those who did, then who has been
