--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, Once, PoisonError};
 use std::time::{Duration, Instant};
 use std::{fs, io, thread};
 use tulipstall_core::Core;
@@ -87,75 +87,105 @@
     Start::read(&text)
 }
 
-/// Runs until SIGTERM or SIGINT and until all that was taken is answered.
+/// A running dispatcher.
+pub struct Node {
+    shared: Arc<Shared>,
+    listener: Arc<Listener>,
+    address: SocketAddr,
+}
+
+impl Node {
+    /// Listens and serves from here on.
+    pub fn start(start: &Start) -> Result<Node, String> {
+        let told = |error: io::Error| error.to_string();
+        // One worker: the platform gives a part of one core. Once for all of a process.
+        static COROUTINES: Once = Once::new();
+        COROUTINES.call_once(|| tulipstall_net::set_up(1, STACK));
+        let (sender, receiver) = mpsc::channel();
+        let span = |name: &str, usual: Duration| start.terms.span(name).unwrap_or(usual);
+        // Past half of the time after which hosts close idle connections a request could cross that.
+        let idle_for = span("allowed.keepalive_us", Duration::from_secs(10)) / 2;
+        let shared = Arc::new(Shared {
+            names: Names::new(&start.terms),
+            start: Instant::now(),
+            posts: Posts { sender, room: Arc::new(Semphore::new(POSTS)) },
+            hosts: Hosts::new(idle_for),
+            room: Room::new(start.limits.sockets),
+            connect: span("allowed.connect_timeout_us", Duration::from_millis(250)),
+            release: span("service.release_us", Duration::from_secs(1)),
+            draining: AtomicBool::new(false),
+            in_hand: AtomicUsize::new(0),
+            ids: Mutex::default(),
+            clients: front::Clients::default(),
+            registry: Mutex::new((start.discovery, None)),
+            listed: AtomicBool::new(false),
+        });
+        owner::start(shared.clone(), receiver, Core::new(start.seed, start.terms.clone())).map_err(told)?;
+        let listener = Arc::new(Listener::bind(start.listen).map_err(told)?);
+        let address = listener.local_addr().map_err(told)?;
+        if let Some(known) = &start.known {
+            shared.hosts.apply(&shared, known, true);
+        }
+        registry::start(shared.clone());
+        front::start(shared.clone(), listener.clone());
+        tracing::info!(name = start.name, %address, sockets = start.limits.sockets, "runs");
+        Ok(Node { shared, listener, address })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The registry is at another address from now on.
+    pub fn moved(&self, registry: SocketAddr) {
+        registry::moved(&self.shared, registry);
+    }
+
+    /// Takes nothing more than what is under way, and returns once all that was taken is answered.
+    pub fn stop(&self) {
+        let shared = &self.shared;
+        shared.draining.store(true, Ordering::SeqCst);
+        tracing::info!(in_hand = shared.in_hand.load(Ordering::SeqCst), "stops");
+        thread::sleep(STILL_TAKES);
+        self.listener.close();
+        loop {
+            shared.clients.close_idle();
+            if shared.in_hand.load(Ordering::SeqCst) == 0 && shared.clients.count() == 0 {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+/// Runs until SIGTERM or SIGINT and until all that was taken is answered; on SIGHUP the configuration is read again.
 pub fn run(config: PathBuf) -> Result<(), String> {
-    let told = |error: io::Error| error.to_string();
     // Before anything else: by themselves these signals end the process.
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(told)?;
-    let start = read(&config)?;
-    // One worker: the platform gives a part of one core.
-    tulipstall_net::set_up(1, STACK);
-    let (sender, receiver) = mpsc::channel();
-    let span = |name: &str, usual: Duration| start.terms.span(name).unwrap_or(usual);
-    // Past half of the time after which hosts close idle connections a request could cross that.
-    let idle_for = span("allowed.keepalive_us", Duration::from_secs(10)) / 2;
-    let shared = Arc::new(Shared {
-        names: Names::new(&start.terms),
-        start: Instant::now(),
-        posts: Posts { sender, room: Arc::new(Semphore::new(POSTS)) },
-        hosts: Hosts::new(idle_for),
-        room: Room::new(start.limits.sockets),
-        connect: span("allowed.connect_timeout_us", Duration::from_millis(250)),
-        release: span("service.release_us", Duration::from_secs(1)),
-        draining: AtomicBool::new(false),
-        in_hand: AtomicUsize::new(0),
-        ids: Mutex::default(),
-        clients: front::Clients::default(),
-        registry: Mutex::new((start.discovery, None)),
-        listed: AtomicBool::new(false),
-    });
-    owner::start(shared.clone(), receiver, Core::new(start.seed, start.terms.clone())).map_err(told)?;
-    let listener = Arc::new(Listener::bind(start.listen).map_err(told)?);
-    if let Some(known) = &start.known {
-        shared.hosts.apply(&shared, known, true);
-    }
-    registry::start(shared.clone());
-    front::start(shared.clone(), listener.clone());
-    tracing::info!(name = start.name, address = %start.listen, sockets = start.limits.sockets, "runs");
+    let signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP]);
+    let mut signals = signals.map_err(|error| error.to_string())?;
+    let node = Node::start(&read(&config)?)?;
     for signal in signals.forever() {
         if signal != SIGHUP {
             break;
         }
-        again(&shared, &config);
+        again(&node, &config);
     }
-    drain(&shared, &listener);
+    node.stop();
     tracing::info!("stopped");
     Ok(())
 }
 
 /// The configuration has been replaced: the registry may be elsewhere.
-fn again(shared: &Shared, config: &Path) {
+fn again(node: &Node, config: &Path) {
     // It may be found half written: a few looks.
     for _ in 0..20 {
         match read(config) {
             Ok(start) => {
                 tracing::info!(registry = %start.discovery, "configuration read again");
-                return registry::moved(shared, start.discovery);
+                return node.moved(start.discovery);
             }
             Err(why) => tracing::warn!(why, "the configuration is not taken"),
         }
         thread::sleep(Duration::from_millis(50));
     }
 }
-
-fn drain(shared: &Shared, listener: &Listener) {
-    shared.draining.store(true, Ordering::SeqCst);
-    tracing::info!(in_hand = shared.in_hand.load(Ordering::SeqCst), "stops");
-    thread::sleep(STILL_TAKES);
-    listener.close();
-    shared.clients.close_idle();
-    while shared.in_hand.load(Ordering::SeqCst) > 0 || shared.clients.count() > 0 {
-        thread::sleep(Duration::from_millis(20));
-        shared.clients.close_idle();
-    }
-}
--- /dev/null
+++ b/crates/node/tests/service.rs
@@ -0,0 +1,509 @@
+//! The dispatcher against a stand-in platform on loopback: what crosses the sockets is judged, faults are injected.
+
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use tulipstall_http1::{Limits, RequestReader, Step};
+use tulipstall_node::Node;
+use tulipstall_platform::start::Start;
+
+/// What a host does with its next call, by default all goes well.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Does {
+    /// These bytes in place of an answer.
+    Says(&'static str),
+    /// A good answer behind these bytes.
+    Ahead(&'static str),
+    /// A good answer with these bytes right behind.
+    Behind(&'static str),
+    /// A good stream up to its second event, then these bytes.
+    Then(&'static str),
+    /// Nothing, for ever.
+    Silent,
+    /// The connection breaks with no answer.
+    Breaks,
+    /// The second event comes so many milliseconds later.
+    Pauses(u64),
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Method and path, id, when.
+    calls: Vec<(String, String, Instant)>,
+    does: VecDeque<Does>,
+}
+
+struct Host {
+    name: &'static str,
+    address: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+}
+
+fn event(text: &str) -> String {
+    let event = format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+const DONE: &str = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+const STREAM: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+impl Host {
+    /// A reader's name begins with r.
+    fn start(name: &'static str) -> Host {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let about = seen.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let about = about.clone();
+                thread::spawn(move || Self::serve(name, stream, &about));
+            }
+        });
+        Host { name, address, seen }
+    }
+
+    fn serve(name: &str, mut stream: TcpStream, seen: &Mutex<Seen>) {
+        let mut reader = RequestReader::new(Limits::default());
+        let mut buffer = [0; 65_536];
+        loop {
+            let (head, _) = match reader.poll() {
+                Ok(Step::Request(head, body)) => (head, body),
+                Ok(_) => match stream.read(&mut buffer) {
+                    Ok(got) if got > 0 => {
+                        reader.feed(&buffer[..got]);
+                        continue;
+                    }
+                    _ => return,
+                },
+                Err(_) => return,
+            };
+            let call = format!("{} {}", head.method, head.target);
+            let id = head.text("x-txn").unwrap_or_default().to_owned();
+            let does = {
+                let mut seen = seen.lock().expect("no panic");
+                seen.calls.push((call.clone(), id.clone(), Instant::now()));
+                if call.starts_with("POST") { seen.does.pop_front() } else { None }
+            };
+            let good = if call.starts_with("DELETE") {
+                "HTTP/1.1 204 No Content\r\n\r\n".to_owned()
+            } else if name.starts_with('r') {
+                "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":7}".to_owned()
+            } else {
+                format!("{STREAM}{}{}{DONE}", event(&id), event("more"))
+            };
+            let half = format!("{STREAM}{}", event(&id));
+            let sent = match does {
+                None => stream.write_all(good.as_bytes()),
+                Some(Does::Says(bytes)) => stream.write_all(bytes.as_bytes()),
+                Some(Does::Ahead(bytes)) => stream.write_all(format!("{bytes}{good}").as_bytes()),
+                Some(Does::Behind(bytes)) => stream.write_all(format!("{good}{bytes}").as_bytes()),
+                Some(Does::Then(bytes)) => {
+                    let _ = stream.write_all(half.as_bytes());
+                    thread::sleep(Duration::from_millis(50));
+                    stream.write_all(bytes.as_bytes())
+                }
+                Some(Does::Pauses(ms)) => {
+                    let _ = stream.write_all(half.as_bytes());
+                    thread::sleep(Duration::from_millis(ms));
+                    stream.write_all(format!("{}{DONE}", event("more")).as_bytes())
+                }
+                Some(Does::Silent) => Ok(()),
+                Some(Does::Breaks) => return,
+            };
+            if sent.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn does(&self, does: &[Does]) {
+        self.seen.lock().expect("no panic").does.extend(does);
+    }
+
+    fn calls(&self) -> Vec<(String, String, Instant)> {
+        self.seen.lock().expect("no panic").calls.clone()
+    }
+}
+
+/// A registry: versions of one list, whole or by what changed.
+#[derive(Clone)]
+struct Registry {
+    address: SocketAddr,
+    state: Arc<(Mutex<Vec<String>>, Condvar)>,
+}
+
+impl Registry {
+    fn start(hosts: &[&Host]) -> Registry {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let registry = Registry {
+            address: listener.local_addr().expect("an address"),
+            state: Arc::new((
+                Mutex::new(vec![hosts.iter().map(|h| line(h, "active")).collect::<Vec<_>>().join(",")]),
+                Condvar::new(),
+            )),
+        };
+        let about = registry.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let about = about.clone();
+                thread::spawn(move || about.serve(stream));
+            }
+        });
+        registry
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let mut reader = RequestReader::new(Limits::default());
+        let mut buffer = [0; 4096];
+        loop {
+            match reader.poll() {
+                Ok(Step::Request(head, _)) => {
+                    let after = head.target.split("index=").nth(1).and_then(|rest| rest.split('&').next());
+                    let after: Option<usize> = after.and_then(|text| text.parse().ok());
+                    let (versions, changed) = &*self.state;
+                    let mut versions = versions.lock().expect("no panic");
+                    let body = match after {
+                        None => format!(
+                            "{{\"seq\":{},\"whole\":true,\"hosts\":[{}]}}",
+                            versions.len(),
+                            versions[0]
+                        ),
+                        Some(after) => {
+                            let wait = Duration::from_millis(500);
+                            (versions, _) = changed
+                                .wait_timeout_while(versions, wait, |v| v.len() <= after)
+                                .expect("no panic");
+                            let new = versions.get(after..).unwrap_or_default().join(",");
+                            format!("{{\"seq\":{},\"whole\":false,\"hosts\":[{new}]}}", versions.len())
+                        }
+                    };
+                    drop(versions);
+                    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    if stream.write_all(text.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+                Ok(_) => match stream.read(&mut buffer) {
+                    Ok(got) if got > 0 => reader.feed(&buffer[..got]),
+                    _ => return,
+                },
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn tell(&self, line: String) {
+        self.state.0.lock().expect("no panic").push(line);
+        self.state.1.notify_all();
+    }
+}
+
+fn line(host: &Host, health: &str) -> String {
+    let class = if host.name.starts_with('r') { "reads" } else { "writes" };
+    format!(
+        "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"a\",\"class\":\"{class}\",\"block\":0,\"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}",
+        host.name, host.address
+    )
+}
+
+fn node(registry: &Registry, sockets: usize) -> Node {
+    let config = format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
+        "settings":{{"Kinds":["reads","writes"],"Zones":["a"],"Zone":"a","Balancers":1,"Me":0,
+          "Domain":{{"RoleByKind":["read","write"],"ReleaseUs":1000000,"TokenAimUs":[60000.0]}},
+          "Permissions":{{"Cancel":true,"MaxAttempts":6,"RetryAfter":true,"MaxRetryAfterUs":1000000,"ConnectTimeoutUs":250000,"KeepaliveUs":15000000}},
+          "Profiles":[{{"Name":"chat","TargetUs":1500000,"HardLimitUs":3000000,"Idempotency":"pure","Group":"all"}}]}}}}"#,
+        registry.address
+    );
+    let node = Node::start(&Start::read(&config).expect("a configuration")).expect("a node");
+    let until = Instant::now() + Duration::from_secs(5);
+    while !ask(node.address(), "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        .starts_with("HTTP/1.1 200")
+    {
+        assert!(Instant::now() < until, "never ready");
+        thread::sleep(Duration::from_millis(10));
+    }
+    node
+}
+
+const BODY: &str = r#"{"model":"chat","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
+
+fn call(id: &str, more: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Txn: {id}\r\nX-Lane: chat\r\nX-Remaining-Ms: 2500\r\n\
+         X-Labels: prompt_len=20,max_out=10\r\n{more}Content-Length: {}\r\n\r\n{BODY}",
+        BODY.len()
+    )
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
+    stream
+}
+
+/// All that comes until the connection ends.
+fn ask(address: SocketAddr, text: &str) -> String {
+    let mut stream = connect(address);
+    let _ = stream.write_all(text.as_bytes());
+    let mut out = Vec::new();
+    let mut buffer = [0; 4096];
+    while let Ok(got) = stream.read(&mut buffer) {
+        if got == 0 {
+            break;
+        }
+        out.extend_from_slice(&buffer[..got]);
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+fn whole(answer: &str, id: &str) -> bool {
+    let clean =
+        answer.starts_with("HTTP/1.1 200") && answer.contains("[DONE]") && answer.ends_with("0\r\n\r\n");
+    clean && answer.contains(id) && answer.matches("data:").count() == 3
+}
+
+struct Platform {
+    r1: Host,
+    w1: Host,
+    w2: Host,
+    registry: Registry,
+    node: Node,
+}
+
+fn platform(sockets: usize) -> Platform {
+    let (r1, w1, w2) = (Host::start("r1"), Host::start("w1"), Host::start("w2"));
+    let registry = Registry::start(&[&r1, &w1, &w2]);
+    let node = node(&registry, sockets);
+    Platform { r1, w1, w2, registry, node }
+}
+
+/// Whatever hosts do before a first event costs a shot, not the task; later the client's connection ends without its
+/// last chunk. What is more than an answer is nobody's.
+#[test]
+fn spoilt_answers_cost_a_shot_or_end_the_connection() {
+    let p = platform(256);
+    let close = "Connection: close\r\n";
+    let noise = "\x01\x02noise noise noise noise";
+    let second = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno";
+    let cases: [(&str, bool, Does, bool); 13] = [
+        ("noise", false, Does::Says(noise), true),
+        ("endless head", false, Does::Says(HEADS), true),
+        ("bad head", false, Does::Says("HTTP/1.1 2x0 OK\r\n\r\n"), true),
+        (
+            "no size",
+            false,
+            Does::Says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\ndata: a\n\n"),
+            true,
+        ),
+        (
+            "3 GB ahead",
+            false,
+            Does::Says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc0000000\r\ndata: a\n\n"),
+            true,
+        ),
+        ("no event", false, Does::Says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd"), true),
+        ("writer breaks", false, Does::Breaks, true),
+        ("reader breaks", true, Does::Breaks, true),
+        (
+            "1xx",
+            false,
+            Does::Ahead("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"),
+            true,
+        ),
+        ("second answer", false, Does::Behind(second), true),
+        ("bad size later", false, Does::Then("xyz\r\ndata: a\n\n\r\n"), false),
+        ("3 GB later", false, Does::Then("c0000000\r\ndata: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"), false),
+        ("wrong size later", false, Does::Then("4\r\ndata: aaaa\n\n\r\n"), false),
+    ];
+    for (i, (name, reads, does, good)) in cases.into_iter().enumerate() {
+        if reads {
+            p.r1.does(&[does]);
+        } else {
+            p.w1.does(&[does]);
+            p.w2.does(&[does]);
+        }
+        let id = format!("spoilt{i:04}");
+        let from = Instant::now();
+        let answer = ask(p.node.address(), &call(&id, close));
+        assert!(from.elapsed() < Duration::from_secs(5), "{name}: {:?}", from.elapsed());
+        if good {
+            assert!(whole(&answer, &id), "{name}: {answer}");
+        } else {
+            assert!(answer.starts_with("HTTP/1.1 200") && !answer.ends_with("0\r\n\r\n"), "{name}: {answer}");
+        }
+        // Hosts whose turn did not come do well again.
+        [&p.r1, &p.w1, &p.w2].iter().for_each(|host| host.seen.lock().expect("no panic").does.clear());
+        // A wrong answer left on a kept connection would be the next task's.
+        let (id, answer) =
+            (format!("after{i:04}"), ask(p.node.address(), &call(&format!("after{i:04}"), close)));
+        assert!(whole(&answer, &id), "after {name}: {answer}");
+    }
+}
+
+const HEADS: &str = concat!("HTTP/1.1 200 OK\r\nx: 1\r\nx: 1\r\nx: 1\r\n", "y");
+
+/// What can't be read is answered with an error or a close, and no host hears of it.
+#[test]
+fn bad_calls_reach_no_host() {
+    let p = platform(256);
+    let good = call("a0", "");
+    let big = "x".repeat(300_000);
+    let cases: Vec<(&str, String)> = vec![
+        ("no id", good.replace("X-Txn: a0\r\n", "")),
+        ("empty id", good.replace("X-Txn: a0", "X-Txn: ")),
+        ("two ids", good.replace("X-Txn: a0", "X-Txn: a0\r\nX-Txn: b0")),
+        ("an id that is a path", good.replace("X-Txn: a0", "X-Txn: ../a0")),
+        ("no such class", good.replace("X-Lane: chat", "X-Lane: other")),
+        ("no class", good.replace("X-Lane: chat\r\n", "")),
+        ("time is no number", good.replace("2500", "soon")),
+        ("time is negative", good.replace("2500", "-2500")),
+        ("a length is negative", good.replace("prompt_len=20", "prompt_len=-20")),
+        ("body is no JSON", good.replace("{\"model\"", "[\"model\"")),
+        ("negative length", good.replace("Content-Length: 7", "Content-Length: -7")),
+        ("huge length", good.replace("Content-Length: 7", "Content-Length: 99999999999999999999997")),
+        ("two lengths", good.replace("Content-Length", "Content-Length: 3\r\nContent-Length")),
+        (
+            "a request inside a body",
+            good.replace("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length")
+                .replace(BODY, &format!("0\r\n\r\n{}", call("hidden", ""))),
+        ),
+        (
+            "a body that is too large",
+            good.replace(&format!("Length: {}", BODY.len()), "Length: 300000") + &big,
+        ),
+        ("a head without end", format!("POST / HTTP/1.1\r\nHost: x\r\nx: {big}")),
+        ("half a request", good[..good.len() - 10].to_owned()),
+        ("nothing", String::new()),
+    ];
+    thread::scope(|scope| {
+        for (name, text) in &cases {
+            let address = p.node.address();
+            scope.spawn(move || {
+                let from = Instant::now();
+                let answer = ask(address, text);
+                let refused = answer.starts_with("HTTP/1.1 4") || answer.starts_with("HTTP/1.1 5");
+                assert!(answer.is_empty() || refused, "{name}: {answer}");
+                assert!(from.elapsed() < Duration::from_secs(3), "{name}: {:?}", from.elapsed());
+            });
+        }
+    });
+    for host in [&p.r1, &p.w1, &p.w2] {
+        assert!(host.calls().is_empty(), "{}: {:?}", host.name, host.calls());
+    }
+    // An id that is in hand is no other client's.
+    p.w1.does(&[Does::Pauses(400)]);
+    p.w2.does(&[Does::Pauses(400)]);
+    let (address, first) = (p.node.address(), call("same", "Connection: close\r\n"));
+    let other = thread::spawn({
+        let first = first.clone();
+        move || ask(address, &first)
+    });
+    thread::sleep(Duration::from_millis(200));
+    assert!(ask(address, &first).starts_with("HTTP/1.1 409"));
+    assert!(whole(&other.join().expect("no panic"), "same"));
+}
+
+/// Connections that say nothing, or asked once and stay, never keep a call out: they are let go for it.
+#[test]
+fn silent_connections_make_room() {
+    let p = platform(64);
+    let address = p.node.address();
+    let mut stay = Vec::new();
+    for i in 0..120 {
+        let mut stream = connect(address);
+        if i % 2 == 0 {
+            let _ = stream.write_all(b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        stay.push(stream);
+        if i % 10 == 9 {
+            let id = format!("room{i:04}");
+            let answer = ask(address, &call(&id, "Connection: close\r\n"));
+            assert!(whole(&answer, &id), "{i}: {answer}");
+        }
+    }
+}
+
+/// Two calls sent at once over one connection get their own answers, in order.
+#[test]
+fn pipelined_calls_are_answered_in_order() {
+    let p = platform(256);
+    p.w1.does(&[Does::Pauses(100)]);
+    p.w2.does(&[Does::Pauses(100)]);
+    let text = [call("one", ""), call("two", ""), call("three", "Connection: close\r\n")].concat();
+    let answer = ask(p.node.address(), &text);
+    let at = |id: &str| answer.find(id).unwrap_or_else(|| panic!("{id}: {answer}"));
+    assert!(at("one") < at("two") && at("two") < at("three"));
+    assert_eq!(answer.matches("0\r\n\r\n").count(), 3, "{answer}");
+}
+
+/// Nothing new goes to a host once it is told to drain, a client that leaves takes its shots along and what is held
+/// for it is let go.
+#[test]
+fn drains_and_leaving_clients() {
+    let p = platform(256);
+    let address = p.node.address();
+    p.registry.tell(line(&p.w1, "leaving"));
+    thread::sleep(Duration::from_millis(250));
+    let told = Instant::now();
+    for i in 0..20 {
+        let id = format!("drain{i:03}");
+        assert!(whole(&ask(address, &call(&id, "Connection: close\r\n")), &id));
+    }
+    assert!(p.w1.calls().iter().all(|(.., at)| *at < told), "{:?}", p.w1.calls());
+    // The reader is silent, its client leaves: the read may end well all the same.
+    p.r1.does(&[Does::Silent]);
+    let mut stream = connect(address);
+    let _ = stream.write_all(call("leaves", "").as_bytes());
+    thread::sleep(Duration::from_millis(200));
+    drop(stream);
+    let until = Instant::now() + Duration::from_millis(1300);
+    let freed =
+        |host: &Host| host.calls().iter().any(|(call, ..)| call == "DELETE /internal/reservations/leaves");
+    while ![&p.r1, &p.w1, &p.w2].into_iter().any(freed) {
+        assert!(Instant::now() < until, "what is held is not let go");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// The registry moves, then the dispatcher stops: what was taken is answered, what comes soon after is, nobody else is
+/// kept waiting.
+#[test]
+fn a_moved_registry_and_a_stop() {
+    let p = platform(256);
+    let address = p.node.address();
+    let w3 = Host::start("w3");
+    let registry = Registry::start(&[&p.r1, &w3]);
+    p.node.moved(registry.address);
+    let until = Instant::now() + Duration::from_secs(2);
+    while w3.calls().is_empty() {
+        assert!(Instant::now() < until, "the other registry's list is not taken");
+        assert!(whole(
+            &ask(address, &call(&format!("m{:?}", until.elapsed().as_nanos()), "Connection: close\r\n")),
+            "m"
+        ));
+    }
+    w3.does(&[Does::Pauses(1500)]);
+    let taken = thread::spawn(move || ask(address, &call("taken", "")));
+    let mut idle = connect(address);
+    thread::sleep(Duration::from_millis(300));
+    thread::scope(|scope| {
+        let stops = scope.spawn(|| {
+            let from = Instant::now();
+            p.node.stop();
+            from.elapsed()
+        });
+        thread::sleep(Duration::from_millis(200));
+        assert!(whole(&ask(address, &call("late", "")), "late"));
+        assert_eq!(idle.read(&mut [0; 16]).unwrap_or(0), 0, "an idle connection is closed");
+        assert!(whole(&taken.join().expect("no panic"), "taken"));
+        let took = stops.join().expect("no panic");
+        assert!(took < Duration::from_secs(4), "{took:?}");
+    });
+    assert!(TcpStream::connect(address).is_err(), "new connections are refused");
+}
