--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -374,14 +374,20 @@
 
     /// An idle connection that still seems sound.
     pub fn idle(&self) -> Option<Link> {
+        self.idle_within(self.idle_for).map(|(link, _)| link)
+    }
+
+    /// One that was idle for less than so long, and how long it was.
+    pub fn idle_within(&self, within: Duration) -> Option<(Link, Duration)> {
         let now = Instant::now();
         loop {
             let (link, since) = match self.idle.lock() {
                 Ok(mut idle) => idle.pop()?,
                 Err(_) => return None,
             };
-            if now.duration_since(since) < self.idle_for && !link.stale() {
-                return Some(link);
+            let was = now.duration_since(since);
+            if was < within.min(self.idle_for) && !link.stale() {
+                return Some((link, was));
             }
         }
     }
--- a/crates/node/src/shot.rs
+++ b/crates/node/src/shot.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use tulipstall::interface::Outcome;
 use tulipstall_core::{End, Input, TaskId};
-use tulipstall_net::{Fault, Reply};
+use tulipstall_net::{Fault, Link, Reply};
 use tulipstall_platform::host::{self, ANSWER, Events, Says};
 
 pub struct Shot {
@@ -146,8 +146,15 @@
         if left(self.until).is_zero() {
             return Err(Outcome::Moot);
         }
-        let link =
-            way.pool.take(self.shared.connect.min(left(self.until))).map_err(|_| Outcome::NoConnection)?;
+        let (link, was) = match way.pool.idle_within(Duration::MAX) {
+            Some((link, was)) => (link, Some(was)),
+            None => (
+                Link::connect(&way.address(), self.shared.connect.min(left(self.until)))
+                    .map_err(|_| Outcome::NoConnection)?,
+                None,
+            ),
+        };
+        tracing::debug!(id = self.task.id, shot = self.number, host = way.name, ?was, "over");
         self.out.hold(Some(&link));
         may()?;
         let task = &self.task;
@@ -167,8 +174,9 @@
                 Ok(Done::Ended(Outcome::Read, end))
             }
             Says::Ended(outcome) => {
-                // The answer stands in the head; the rest only says whether the connection is good for more.
-                if reply.whole_body(self.until.min(Instant::now() + self.shared.connect)).is_ok() {
+                tracing::debug!(id = task.id, head = ?head, "refused by its host");
+                // The answer stands in the head: no task waits for the rest, which may never come.
+                if reply.reader.body(&mut Vec::new()).is_ok_and(|ended| ended) {
                     give_back(&self.shared, way, reply);
                 }
                 Err(outcome)
