--- a/src/rules.rs
+++ b/src/rules.rs
@@ -489,10 +489,11 @@
                 }
             };
             let may = fit && self.may_send(t, h);
-            // The host that this task's answer is taken from, lost or slow, or that failed it, counts as past
-            // what is alike: its own counts may not tell why. Holds against hosts that fail or turn away at
-            // once and look empty; sends on by a host more than needed what failed by chance.
-            let leaves = self.tasks[t].failed_at(h);
+            // The host that this task's answer is taken from, lost or slow, or that turned it away, counts as
+            // past what is alike: its own counts may not tell why. Holds against hosts that turn away for
+            // other reasons than their load. Not where it may have run: that fails by chance more often than a
+            // writer farther off is worth.
+            let leaves = self.tasks[t].leaves(h);
             let left = if leaves { 1.5 * self.alike(t) } else { 0.0 };
             counts.push(if may { self.pending(h, part, net) + left } else { f64::INFINITY });
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,9 +197,9 @@
         self.told.as_ref().is_some_and(|told| told.iter().any(half))
     }
 
-    /// Whether a shot of it has failed at a host, or the answer that it goes on with was there.
-    pub(crate) fn failed_at(&self, h: u32) -> bool {
-        let failed = self.shots.iter().filter(|shot| shot.failed);
+    /// Whether a host has turned a shot of it away or failed a read, or the answer that it goes on with was there.
+    pub(crate) fn leaves(&self, h: u32) -> bool {
+        let failed = self.shots.iter().filter(|shot| shot.failed && !shot.may_have_run);
         self.earlier.iter().chain(failed).any(|shot| shot.host == h)
     }
 
