--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,7 +14,7 @@
 use tulipstall::Rules;
 use tulipstall::door::Door;
 use tulipstall::interface::{
-    Action, Closed, Event, Listed, Load, Order, Outcome, Ran, Role, Standing, Term, Terms,
+    Action, Belief, Closed, Event, Listed, Load, Order, Outcome, Ran, Role, Standing, Term, Terms,
 };
 use tulipstall_prefix::chain::BLOCK;
 use tulipstall_prefix::{Kept, Prefixes};
@@ -333,6 +333,11 @@
         self.in_hand
     }
 
+    /// What the decisions think of each host that matters to them, by its index.
+    pub fn beliefs(&self, now: Duration) -> impl Iterator<Item = (u32, Belief)> {
+        (0..self.roles.len() as u32).filter_map(move |host| Some((host, self.rules.belief(host, now)?)))
+    }
+
     pub fn host_name(&self, host: u32) -> Option<&str> {
         self.door.hosts.name(host)
     }
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -5,7 +5,7 @@
 use crate::{Shared, lock};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tulipstall::interface::Standing;
@@ -22,6 +22,8 @@
     closed: AtomicBool,
     /// Not on the list any more.
     gone: AtomicBool,
+    /// Shots whose request has been written and that have not ended.
+    pub out: AtomicUsize,
 }
 
 impl Way {
@@ -112,6 +114,7 @@
                         born_ms: line.born_ms,
                         closed: AtomicBool::new(false),
                         gone: AtomicBool::new(false),
+                        out: AtomicUsize::new(0),
                     }),
                 };
                 way.stands(line.standing());
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -8,7 +8,9 @@
 use may::sync::mpsc::Receiver;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tulipstall::interface::Belief;
 use tulipstall_core::{Core, Errand, Input, Output, TaskId};
 use tulipstall_net::spawn;
 
@@ -22,7 +24,14 @@
 }
 
 pub fn start(shared: Arc<Shared>, posts: Receiver<Post>, core: Core) -> io::Result<()> {
-    let mut owner = Owner { shared, core, tasks: Vec::new(), ways: Vec::new(), out: Vec::new() };
+    let mut owner = Owner {
+        shared,
+        core,
+        tasks: Vec::new(),
+        ways: Vec::new(),
+        out: Vec::new(),
+        compared: Duration::ZERO,
+    };
     // A thread: its waits have time-outs, which are not sound in coroutines (docs/coroutines.md).
     std::thread::Builder::new().name("owner".into()).spawn(move || owner.run(&posts))?;
     Ok(())
@@ -41,8 +50,13 @@
     tasks: Vec<Option<InHand>>,
     ways: Vec<Option<Arc<Way>>>,
     out: Vec<Output>,
+    /// When it was last told what is believed.
+    compared: Duration,
 }
 
+/// How often what is believed is told.
+const COMPARE: Duration = Duration::from_secs(1);
+
 impl Owner {
     fn run(&mut self, posts: &Receiver<Post>) {
         loop {
@@ -59,10 +73,27 @@
                 self.carry_out(output);
             }
             self.core.carried_out();
+            self.compare();
             self.out = out;
         }
     }
 
+    /// Tells what the decisions believe of each host beside what is out on the sockets, where lines of that kind are
+    /// written at all.
+    fn compare(&mut self) {
+        let now = self.shared.now();
+        if now < self.compared + COMPARE || !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        self.compared = now;
+        for (host, belief) in self.core.beliefs(now) {
+            let Some(Some(way)) = self.ways.get(host as usize) else { continue };
+            let (name, out) = (&way.name, way.out.load(Ordering::Relaxed));
+            let Belief { shots, reading, writing, doubt, slow } = belief;
+            tracing::debug!(host = name, shots, out, reading, writing, doubt, slow, "believes");
+        }
+    }
+
     fn decide(&mut self, now: Duration, post: Option<Post>, out: &mut Vec<Output>) {
         let input = match post {
             None => Input::Tick,
--- a/crates/node/src/shot.rs
+++ b/crates/node/src/shot.rs
@@ -7,6 +7,7 @@
 use crate::task::{Out, Task};
 use crate::{Shared, lock};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tulipstall::interface::Outcome;
 use tulipstall_core::{End, Input, TaskId};
@@ -43,15 +44,26 @@
     id: TaskId,
     number: u32,
     told: bool,
+    /// Where it is out.
+    at: Option<Arc<Way>>,
 }
 
 impl Closing {
+    /// Its request is written from here on.
+    fn is_out(&mut self, way: &Arc<Way>) {
+        way.out.fetch_add(1, Ordering::Relaxed);
+        self.at = Some(way.clone());
+    }
+
     pub fn close(mut self, outcome: Outcome, end: End) {
         self.tell(outcome, end);
     }
 
     fn tell(&mut self, outcome: Outcome, end: End) {
         self.told = true;
+        if let Some(way) = self.at.take() {
+            way.out.fetch_sub(1, Ordering::Relaxed);
+        }
         let (task, shot) = (self.id, self.number);
         self.shared.posts.post(Post::Told(Input::Closed { task, shot, outcome, end }));
     }
@@ -100,10 +112,11 @@
 
 impl Shot {
     pub fn run(self, way: Option<Arc<Way>>) {
-        let closing = Closing { shared: self.shared.clone(), id: self.id, number: self.number, told: false };
+        let (shared, id, number) = (self.shared.clone(), self.id, self.number);
+        let mut closing = Closing { shared, id, number, told: false, at: None };
         let Some(way) = way else { return closing.close(Outcome::Moot, End::default()) };
         let sent = Instant::now();
-        let done = self.shoot(&way);
+        let done = self.shoot(&way, &mut closing);
         self.out.hold(None);
         match done {
             Ok(Done::Ended(outcome, end)) => {
@@ -149,7 +162,7 @@
         }
     }
 
-    fn shoot(&self, way: &Way) -> Result<Done, Outcome> {
+    fn shoot(&self, way: &Arc<Way>, closing: &mut Closing) -> Result<Done, Outcome> {
         // Told to drain or gone since it was decided, or called off: provably never sent.
         let may = || (way.open() && !self.out.cancelled()).then_some(()).ok_or(Outcome::Moot);
         may()?;
@@ -170,6 +183,7 @@
             let Some(body) = task.body() else { return Err(Outcome::Moot) };
             host::request(&task.target, &task.host, &task.id, left(self.until), &body)
         };
+        closing.is_out(way);
         // Until its last byte is written nobody runs it.
         link.write(&request, self.until).map_err(|_| Outcome::NoConnection)?;
         drop(request);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -210,6 +210,17 @@
     },
 }
 
+/// What is thought of a host: shots out, own tokens pending to be read and of streams, suspicion up to 1, and how many
+/// times slower than its role it is taken for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Belief {
+    pub shots: u32,
+    pub reading: f64,
+    pub writing: f64,
+    pub doubt: f64,
+    pub slow: f64,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub enum Action {
     Send {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 //! compares that with what is out, held and timed, and emits the difference.
 
 use crate::interface::{
-    Action, Closed, Event, Key, Listed, Load, Order, Outcome, Ran, Role, Standing, Terms,
+    Action, Belief, Closed, Event, Key, Listed, Load, Order, Outcome, Ran, Role, Standing, Terms,
 };
 pub use crate::state::Rules;
 use crate::state::{Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted};
@@ -96,6 +96,13 @@
         }
     }
 
+    /// What is thought of a host now, for whoever compares that with what passes on the sockets.
+    pub fn belief(&self, h: u32, now: Duration) -> Option<Belief> {
+        let host = self.hosts.get(h as usize).filter(|host| host.runs() || host.shots_out > 0)?;
+        let (doubt, slow) = (host.doubt(now), self.slow(h, Part::Read));
+        Some(Belief { shots: host.shots_out, reading: host.reading, writing: host.writing, doubt, slow })
+    }
+
     fn hosts_listed(&mut self, whole: bool, listed: &[Listed], out: &mut Vec<Action>) {
         let now = self.now;
         if whole {
