Give places of hosts that left to new ones; write up the dispatcher in service

Past 64 that have left, the place of the one that left longest ago gets a new owner, which starts anew in the decisions.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -147,6 +147,9 @@
             };
             listed.extend(self.door.listed(&row.host, &row.kind, &row.zone, line));
         }
+        if whole {
+            self.door.hosts.only(&listed);
+        }
         self.tell(clock, &Event::Hosts { whole, listed }, reply);
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -504,6 +504,9 @@
             self.note_start(now, &line);
             listed.push(line);
         }
+        if whole {
+            self.door.hosts.only(&listed);
+        }
         self.tell(now, Event::Hosts { whole, listed }, out);
     }
 
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -195,8 +195,10 @@
     fn way(&mut self, host: u32) -> Option<Arc<Way>> {
         let at = host as usize;
         self.ways.resize_with(self.ways.len().max(at + 1), || None);
-        if self.ways[at].is_none() {
-            self.ways[at] = self.core.host_name(host).and_then(|name| self.shared.hosts.way(name));
+        let name = self.core.host_name(host);
+        // A place may have a new owner.
+        if self.ways[at].as_ref().is_none_or(|way| Some(way.name.as_str()) != name) {
+            self.ways[at] = name.and_then(|name| self.shared.hosts.way(name));
         }
         self.ways[at].clone()
     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -131,9 +131,10 @@
     fn way(&mut self, host: u32) -> Option<Arc<Way>> {
         let at = host as usize;
         self.ways.resize_with(self.ways.len().max(at + 1), || None);
-        // A host that came back elsewhere has another way.
-        if self.ways[at].as_ref().is_none_or(|way| !way.open()) {
-            self.ways[at] = self.core.host_name(host).and_then(|name| self.shared.hosts.way(name));
+        let name = self.core.host_name(host);
+        // A host that came back elsewhere has another way, and a place may have a new owner.
+        if self.ways[at].as_ref().is_none_or(|way| !way.open() || Some(way.name.as_str()) != name) {
+            self.ways[at] = name.and_then(|name| self.shared.hosts.way(name));
         }
         self.ways[at].clone()
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -115,8 +115,9 @@
             self.hosts.resize(self.hosts.len().max(at + 1), Host::default());
             let warm_at = line.up_for.filter(|up| *up < warm).map_or(Duration::ZERO, |up| now + warm - up);
             let host = &mut self.hosts[at];
-            // A later start under the same id is a new host: only what is still out there is carried over.
-            if host.listed == Listed::default() || warm_at > host.warm_at {
+            // A later start under the same id is a new host, as is a new name: only what is still out there is
+            // carried over.
+            if host.listed.mark != line.mark || host.listed == Listed::default() || warm_at > host.warm_at {
                 *host = Host {
                     reading: host.reading,
                     writing: host.writing,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -470,6 +470,48 @@
     }
 }
 
+#[test]
+fn nothing_is_believed_out_once_all_has_ended() {
+    // How the shots of a task end, one after the other; the client leaves after the last.
+    let cases: &[&[Outcome]] = &[
+        &[Read, Delivered],
+        &[Read, Spoilt, Read, Delivered],
+        &[Read, Stale, Full, Broken],
+        &[Error, NoConnection, Moot],
+        &[Read, NoState, Read, TimedOut],
+        &[Cancelled],
+    ];
+    for outcomes in cases {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 0)]);
+        desk.order(0, 1, 1, 1000);
+        for (shot, outcome) in outcomes.iter().enumerate() {
+            let out: u32 =
+                (0..4).filter_map(|h| desk.rules.belief(h, ms(1))).map(|belief| belief.shots).sum();
+            assert_eq!(out, 1, "{outcomes:?}: before shot {shot} ends");
+            desk.close(10 + shot as u64, 1, shot as u32, *outcome);
+        }
+        desk.tell(100, Event::ClientGone { task: 1 });
+        desk.close(101, 1, outcomes.len() as u32, Cancelled);
+        for belief in (0..4).filter_map(|h| desk.rules.belief(h, ms(200))) {
+            assert_eq!((belief.shots, belief.reading, belief.writing), (0, 0.0, 0.0), "{outcomes:?}");
+        }
+    }
+}
+
+#[test]
+fn a_place_with_a_new_owner_starts_anew() {
+    // Whether the line that comes next has another name; whether the reader there is still suspected.
+    for (renamed, suspected) in [(false, true), (true, false)] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+        desk.order(0, 1, 1, 1000);
+        desk.close(1, 1, 0, Broken);
+        desk.hosts[0].mark += u64::from(renamed);
+        desk.list(2, 0, Standing::Running, None);
+        let belief = desk.rules.belief(0, ms(3)).expect("it runs");
+        assert_eq!(belief.doubt > 0.0, suspected, "renamed {renamed}: {belief:?}");
+    }
+}
+
 #[test]
 fn silence_costs_a_shot_not_the_task() {
     // Whether others were answered by the silent host, or its peer, since; whether the shot is let go of.
