--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -360,6 +360,20 @@
     }
 }
 
+/// A stream that stops, its host still there: its client is not left waiting, and the answer does not seem whole.
+#[test]
+fn a_stream_that_stops_ends_its_client() {
+    let p = platform(256);
+    p.w1.does(&[Does::Pauses(20_000)]);
+    let from = Instant::now();
+    let answer = ask(p.node.address(), &call("stops", ""));
+    assert!(from.elapsed() < Duration::from_secs(5), "{:?}", from.elapsed());
+    assert!(answer.starts_with("HTTP/1.1 200") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+    // One that is only slow is passed on whole.
+    p.w1.does(&[Does::Pauses(3500)]);
+    assert!(whole(&ask(p.node.address(), &call("slow", "Connection: close\r\n")), "slow"));
+}
+
 const HEADS: &str = concat!("HTTP/1.1 200 OK\r\nx: 1\r\nx: 1\r\nx: 1\r\n", "y");
 
 /// What can't be read is answered with an error or a close, and no host hears of it.
--- a/crates/platform/src/patience.rs
+++ b/crates/platform/src/patience.rs
@@ -7,8 +7,9 @@
 /// here within a round trip; a busy dispatcher may be halted for some 100 ms between the two.
 pub const BEGUN: Duration = Duration::from_millis(300);
 
-/// How silent a host may be under a stream. A slow one must not be cut off, and nobody can go on with its stream.
-const SILENT: Duration = Duration::from_secs(20);
+/// How silent a host may be under a stream: its client must not be left waiting for 5 s, and a slow host that still
+/// speaks must not be cut off.
+const SILENT: Duration = Duration::from_millis(4500);
 
 /// One that is gone from the list: its last bytes are under way at most.
 const GONE: Duration = Duration::from_secs(2);
@@ -24,3 +25,18 @@
         (false, false) => SILENT,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The platform's bounds: 5 s of silence, a second for an end that has come.
+    #[test]
+    fn no_client_is_left_waiting() {
+        for gone in [false, true] {
+            assert!(silent(false, gone) < Duration::from_secs(5));
+            assert!(silent(true, gone) < Duration::from_secs(1));
+        }
+        assert!(silent(false, true) < silent(false, false));
+    }
+}
