Doubt a host that turns away though it is free, rather than see a jam of all

Log of shots: one reader that is being replaced, and not yet listed as draining, turns all away at once, gets every next task and six shots of one. Excluded: credit and cold budgets (others were sent to), the sockets (0 ms, answers whole). To blame in Rules::closed: a Full was never blamed on its host and counted as a read of a whole agreed time for all readers, so that read_in_time bounced what the others could read.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -115,8 +115,8 @@
             self.hosts.resize(self.hosts.len().max(at + 1), Host::default());
             let warm_at = line.up_for.filter(|up| *up < warm).map_or(Duration::ZERO, |up| now + warm - up);
             let host = &mut self.hosts[at];
-            // A later start under the same id is a new host, as is a new name: only what is still out there is
-            // carried over.
+            // A later start under the same id is a new host, as is a new name: only what is still out there
+            // is carried over.
             if host.listed.mark != line.mark || host.listed == Listed::default() || warm_at > host.warm_at {
                 *host = Host {
                     reading: host.reading,
@@ -238,6 +238,9 @@
             // on.
             self.caution = (self.caution * 1.1).min(4.0);
         }
+        let since = now.saturating_sub(Duration::from_secs_f64(told));
+        let role = self.hosts[shot.host as usize].listed.role;
+        let others = self.peers(role).any(|(h, peer)| h != shot.host && peer.heard > since);
         let host = &mut self.hosts[shot.host as usize];
         host.shots_out = host.shots_out.saturating_sub(1);
         host.reading -= if shot.started.is_none() { shot.net } else { 0.0 };
@@ -245,9 +248,21 @@
         if host.shots_out == 0 {
             (host.reading, host.writing) = (0.0, 0.0);
         }
+        // Turned away by a host that own counts, taken for every dispatcher's, leave mostly free, while a
+        // peer answers: not for its load. Holds against hosts that drain untold or are throttled: else their
+        // refusals count as a jam of all, and what could be read elsewhere is bounced. May send on too soon
+        // from one that others fill.
+        let all = self.dispatchers;
+        let free = if shot.part == Part::Write {
+            host.writing * all < 0.5 * host.listed.memory_tokens.unwrap_or(0.0)
+        } else {
+            host.reading * all * self.speeds[role as usize].value() < 0.25 * told
+        };
+        let refuses = closed.outcome == Outcome::Full && free && others;
         // One lost connection or two errors take a host past half of certain; a silence takes it there.
         let blame = match closed.outcome {
             Outcome::Error | Outcome::Spoilt => 0.35,
+            Outcome::Full if refuses => 0.35,
             // A client that leaves little time says nothing of the host.
             Outcome::TimedOut if patient => 0.5,
             Outcome::Cancelled if shot.cancelled => 0.5,
@@ -259,7 +274,7 @@
         let waited = if closed.outcome == Outcome::Full { told } else { (now - shot.sent).as_secs_f64() };
         let ends =
             matches!(closed.outcome, Outcome::Read | Outcome::TimedOut | Outcome::Cancelled | Outcome::Full);
-        if ends && shot.part != Part::Write && shot.started.is_none() {
+        if ends && !refuses && shot.part != Part::Write && shot.started.is_none() {
             host.took(now, waited, shot.queue, &mut self.speeds);
         }
         if blame > 0.0 {
@@ -499,8 +514,8 @@
             let may = fit && self.may_send(t, h);
             // The host that this task's answer is taken from, lost or slow, or that turned it away, counts as
             // past what is alike: its own counts may not tell why. Holds against hosts that turn away for
-            // other reasons than their load. Not where it may have run: that fails by chance more often than a
-            // writer farther off is worth.
+            // other reasons than their load. Not where it may have run: that fails by chance more often than
+            // a writer farther off is worth.
             let leaves = self.tasks[t].leaves(h);
             let left = if leaves { 1.5 * self.alike(t) } else { 0.0 };
             counts.push(if may { self.pending(h, part, net) + left } else { f64::INFINITY });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -824,6 +824,36 @@
     }
 }
 
+#[test]
+fn a_host_that_refuses_though_free_is_no_jam_of_all() {
+    // How many of three readers turn all away while the last one answers; every fourth prompt is a long one. Nothing is
+    // bounced for it.
+    for refusing in [1, 2] {
+        let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (READER, 0), (WRITER, 0)]);
+        for i in 0..20 {
+            desk.serve(i * 200, i as u32, i as u32, 1000);
+        }
+        let mut bounced = 0;
+        for i in 20..60 {
+            let (at, task) = (i * 200, i as u32);
+            let mut next = desk.order(at, task, task, if i % 4 == 3 { 4000 } else { 200 });
+            let mut shot = 0;
+            while let Some(host) = sent(&next).filter(|host| *host < 3) {
+                let outcome = if host < refusing { Full } else { Read };
+                next = desk.close(at + 20 + u64::from(shot), task, shot, outcome);
+                shot += 1;
+            }
+            if sent(&next).is_some() {
+                desk.tell(at + 60, Event::Started { task, shot });
+                desk.close(at + 80, task, shot, Delivered);
+            } else {
+                bounced += 1;
+            }
+        }
+        assert_eq!(bounced, 0, "{refusing} of three readers refuse");
+    }
+}
+
 #[test]
 fn a_client_that_leaves_little_time_casts_no_doubt_on_a_host() {
     // After how long a shot ran out of time; whether its host is suspected.
