--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,7 +2,7 @@
 //! them in their order.
 
 use crate::owner::Post;
-use crate::shot::{Begun, over};
+use crate::shot::Begun;
 use crate::task::Task;
 use crate::{Shared, lock, relay};
 use may::sync::Semphore;
@@ -269,7 +269,7 @@
 
 impl Drop for InHand<'_> {
     fn drop(&mut self) {
-        over(self.shared, &self.id);
+        lock(&self.shared.ids).remove(&self.id);
         self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/node/src/shot.rs
+++ b/crates/node/src/shot.rs
@@ -268,8 +268,3 @@
     give_back(shared, way, reply);
     (head.status < 300).then_some(())
 }
-
-/// Frees the id of a task that is over.
-pub fn over(shared: &Shared, id: &str) {
-    lock(&shared.ids).remove(id);
-}
