Wake whoever waits for a socket that is shut, also while it is still connecting

At fault: watch::look and Link::shut end a wait by shutting the socket alone; where the system's calls are led elsewhere, a socket that is still connecting does not tell its waiter. connect_by then waits for TCP, and so do the three tries of shot::release, which have 100 ms each. Now a shut link also wakes its waiters itself and waits for nothing any more. tests/waits.rs uses a socket of netlink, which does not tell of a shutdown either; without the waker it is red (reading: Timeout).

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -102,6 +102,11 @@
         &self.socket
     }
 
+    /// Ends a wait, also where the socket does not: of being shut while it is connecting it need not tell.
+    fn wake(&self) {
+        self.io.waker().wakeup();
+    }
+
     /// Until anything happens; also for nothing, now and then.
     fn wait(&self) {
         if is_coroutine() {
@@ -176,6 +181,8 @@
 
 struct Inner {
     stream: Arc<Waited<TcpStream>>,
+    /// By whoever holds it or by its moment: nothing is waited for any more.
+    shut: AtomicBool,
     /// A second hold on the socket, for who waits to write while another waits to read.
     second: OnceLock<Option<Arc<Waited<TcpStream>>>>,
     /// Microseconds on the watch's clock; `NEVER` while nobody waits.
@@ -189,6 +196,22 @@
 /// Linux: a connection that does not wait is on its way.
 const EINPROGRESS: i32 = 115;
 
+impl Inner {
+    /// Wakes whoever waits for it, in either direction; nothing is waited for from then on.
+    fn shut(&self) {
+        self.shut.store(true, Ordering::Release);
+        let _ = self.stream.inner().shutdown(Shutdown::Both);
+        self.stream.wake();
+        if let Some(Some(second)) = self.second.get() {
+            second.wake();
+        }
+    }
+
+    fn is_shut(&self) -> bool {
+        self.shut.load(Ordering::Acquire)
+    }
+}
+
 impl Drop for Inner {
     fn drop(&mut self) {
         let _ = self.stream.inner().shutdown(Shutdown::Both);
@@ -202,7 +225,8 @@
         let _ = stream.set_nodelay(true);
         let (read_by, write_by) = (AtomicU64::new(NEVER), AtomicU64::new(NEVER));
         let (stream, second) = (Waited::new(stream)?, OnceLock::new());
-        let inner = Arc::new(Inner { stream, second, read_by, write_by, late: AtomicBool::new(false) });
+        let (shut, late) = (AtomicBool::new(false), AtomicBool::new(false));
+        let inner = Arc::new(Inner { stream, shut, second, read_by, write_by, late });
         watch::add(&inner);
         Ok(Link { inner })
     }
@@ -232,7 +256,7 @@
             if stream.inner().peer_addr().is_ok() {
                 return Ok(link);
             }
-            if link.inner.late.load(Ordering::Acquire) || until <= Instant::now() {
+            if link.inner.is_shut() || until <= Instant::now() {
                 return Err(io::ErrorKind::TimedOut.into());
             }
             link.read_by(Some(until));
@@ -243,7 +267,7 @@
 
     /// Wakes whoever reads or writes it, with an end.
     pub fn shut(&self) {
-        let _ = self.inner.stream.inner().shutdown(Shutdown::Both);
+        self.inner.shut();
     }
 
     /// Moves the moment by which a read that is being waited for must have come.
@@ -286,7 +310,7 @@
                     }
                     stream.wait();
                     self.read_by(None);
-                    if self.inner.late.load(Ordering::Acquire) {
+                    if self.inner.is_shut() {
                         return Err(self.fault());
                     }
                 }
@@ -336,7 +360,7 @@
         loop {
             second.wait();
             match second.inner().write(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && !self.inner.is_shut() => {}
                 written => return written,
             }
         }
--- a/crates/net/src/watch.rs
+++ b/crates/net/src/watch.rs
@@ -3,7 +3,6 @@
 
 use crate::Inner;
 use std::any::Any;
-use std::net::Shutdown;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::thread;
@@ -86,7 +85,7 @@
             let Some(link) = link.upgrade() else { return false };
             let by = link.read_by.load(Ordering::Acquire).min(link.write_by.load(Ordering::Acquire));
             if by <= now && !link.late.swap(true, Ordering::AcqRel) {
-                let _ = link.stream.inner().shutdown(Shutdown::Both);
+                link.shut();
             }
             true
         });
--- /dev/null
+++ b/crates/net/tests/waits.rs
@@ -0,0 +1,60 @@
+//! Waits end by their moment, whatever the socket does.
+
+use socket2::{Domain, Socket, Type};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+use tulipstall_net::{Fault, Link, set_up, spawn};
+
+const SHORT: Duration = Duration::from_millis(200);
+
+/// Shutting a socket does not tell whoever waits for it everywhere: not where it is still connecting and the system's
+/// calls are led elsewhere. Linux has sockets for which it does not either, those of netlink.
+fn deaf() -> Link {
+    let socket = Socket::new(Domain::from(16), Type::DGRAM, None).expect("a netlink socket");
+    Link::new(TcpStream::from(OwnedFd::from(socket))).expect("a link")
+}
+
+/// A listener whose queue is full: it answers no further connection, and refuses none.
+fn full() -> (SocketAddr, impl Sized) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a port");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address");
+    let queue: Vec<_> = (0..4).map(|_| TcpStream::connect_timeout(&address, SHORT)).collect();
+    (address, (listener, queue))
+}
+
+#[test]
+fn a_wait_ends_by_its_moment() {
+    set_up(1, 128 << 10);
+    let (address, _queue) = full();
+    let until = || Instant::now() + SHORT;
+    type Waits = Box<dyn FnOnce() -> Result<(), Fault> + Send>;
+    let cases: [(&str, Waits, Fault); 3] = [
+        ("connecting", Box::new(move || Link::connect(&address, SHORT).map(|_| ())), Fault::NoConnection),
+        ("reading", Box::new(move || deaf().read(&mut [0], until()).map(|_| ())), Fault::TimedOut),
+        (
+            "shut by another",
+            Box::new(move || {
+                let (link, other) = (deaf(), Instant::now() + Duration::from_secs(9));
+                let shuts = link.clone();
+                spawn(move || {
+                    tulipstall_net::sleep(SHORT);
+                    shuts.shut();
+                });
+                link.read(&mut [0], other).map(|_| ())
+            }),
+            Fault::Broken,
+        ),
+    ];
+    for (name, waits, fault) in cases {
+        let from = Instant::now();
+        let (tell, told) = channel();
+        spawn(move || tell.send(waits()));
+        assert_eq!(told.recv_timeout(10 * SHORT), Ok(Err(fault)), "{name}");
+        assert!(from.elapsed() < 2 * SHORT, "{name}: {:?}", from.elapsed());
+    }
+}
