Tell hosts with other fates to let go of a state, until one answers

Cause: shot::release tried who held it, then Hosts::other, always the first open host by name: the same for every dispatcher, and often behind the same cut; three tries, then nothing.

Now crates/platform letting_go picks whom to tell: who holds it if its last answer came, else a host tried least, of a zone tried least, not doubted, near, with an open connection, by chance among those alike; ten hundredths of the time each, six tries at once, ten more at pauses. The core keeps what reads may have left (Life::left) and lets go of it with the task, or at once where the task is gone. A read that told no good end is told of once more after a third of the time, as it may still have been under way. A stop waits for all of it. Hosts that drain or are gone are not told.

Addresses are dialled and listened on as told: the network code refused all but loopback, so that no deployment could have started.

Tests, each red without its mend: states_behind_a_cut_are_let_go_of_elsewhere (40 tasks, a zone cut, judged by what reached hosts and when), a_stop_waits_for_what_is_held, what_reads_may_have_left_is_let_go_of, addresses_are_dialled_as_told, tables of the module.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -67,8 +67,10 @@
     /// Tokens that the whole answer had, where it was delivered.
     pub answer_tokens: u32,
     pub load: Option<Load>,
-    /// The reader's name for the state that it holds now.
+    /// The reader's name for the state that it holds now, or may hold where the read told no good end.
     pub state: Option<String>,
+    /// That reader.
+    pub host: u32,
 }
 
 /// A state that waits at a reader.
@@ -130,8 +132,10 @@
         task: TaskId,
         shot: u32,
     },
+    /// Sure: its reader told of it. Else it may be there, and may come yet where its reader can't be reached.
     Release {
         held: Held,
+        sure: bool,
     },
     Bounce {
         task: TaskId,
@@ -185,9 +189,17 @@
     /// The first shot that may have run, of all of the task and of what it goes on with.
     ran: Option<Ran>,
     held: Option<Held>,
+    /// States that reads may have left which told no good end, or told it late: let go of with the task.
+    left: Vec<Held>,
 }
 
 impl Life {
+    /// Notes what a read may have left, once for each name.
+    fn leaves(&mut self, held: Option<Held>) {
+        let known = |held: &Held| self.left.iter().any(|left| left.state == held.state);
+        self.left.extend(held.filter(|held| !known(held)));
+    }
+
     /// Notes a shot that may have run; whether it is the first now.
     fn may_have_run(&mut self, ran: Ran) -> bool {
         let first = self.ran.is_none_or(|first| ran.sent < first.sent);
@@ -562,11 +574,19 @@
         end: End,
         out: &mut Vec<Output>,
     ) {
-        let Some(life) = self.life(task) else { return };
+        let held =
+            end.state.clone().map(|state| Held { host: end.host, state, kept_tokens: end.kept_tokens });
+        let Some(life) = self.life(task) else {
+            // Its shot was overdue, its place may have a new owner: nobody else knows of the state.
+            return out.extend(held.map(|held| Output::Release { held, sure: outcome == Outcome::Read }));
+        };
         let (ended, owner, offering) = (life.ended, life.owner, life.offering as usize);
-        let Some(about) = life.shots.get_mut(shot as usize).filter(|shot| shot.out) else { return };
+        let Some(about) = life.shots.get_mut(shot as usize).filter(|shot| shot.out) else {
+            return life.leaves(held);
+        };
         about.out = false;
         let (host, reads) = (about.host, about.reads);
+        let held = held.map(|held| Held { host, ..held });
         if !about.reads && !outcome.never_ran() {
             let ran = Ran { host, sent: about.sent };
             out.extend(life.may_have_run(ran).then_some(Output::Ran { task, ran }));
@@ -576,12 +596,13 @@
             self.note_read(now, task, host, &end);
         }
         let Some(life) = self.life(task) else { return };
-        match (outcome, end.state) {
-            (Outcome::Read, Some(state)) => {
-                life.held = Some(Held { host, state, kept_tokens: end.kept_tokens });
-            }
-            (Outcome::NoState | Outcome::Delivered | Outcome::Spoilt, _) => life.held = None,
-            _ => {}
+        if matches!(outcome, Outcome::NoState | Outcome::Delivered | Outcome::Spoilt) {
+            life.held = None;
+        }
+        if outcome == Outcome::Read {
+            life.held = held;
+        } else {
+            life.leaves(held);
         }
         // The answer that the client was given ends with its shot, whole or broken.
         let ends = owner == Some(shot) && !ended;
@@ -648,7 +669,7 @@
             Action::Release { task } => {
                 let task = id(&self.lives, task);
                 if let Some(held) = self.life(task).and_then(|life| life.held.take()) {
-                    out.push(Output::Release { held });
+                    out.push(Output::Release { held, sure: true });
                 }
             }
             Action::Bounce { task, come_back } => {
@@ -672,8 +693,10 @@
                 let task = id(&self.lives, place);
                 if let Some(life) = self.life(task) {
                     life.live = false;
+                    let left = std::mem::take(&mut life.left);
                     self.in_hand -= 1;
                     self.forgotten.push(place);
+                    out.extend(left.into_iter().map(|held| Output::Release { held, sure: false }));
                     out.push(Output::Forget { task });
                 }
             }
--- a/crates/core/tests/life.rs
+++ b/crates/core/tests/life.rs
@@ -182,11 +182,48 @@
     let out = play.on(Input::Gone { task });
     assert!(out.contains(&Output::Cancel { task, shot: 0 }), "{out:?}");
     let out = play.close(task, 0, Outcome::Read);
-    let released = out.iter().any(|o| matches!(o, Output::Release { held } if held.state == "s0"));
+    let released = out.iter().any(|o| matches!(o, Output::Release { held, .. } if held.state == "s0"));
     assert!(released && sends(&out) == 0, "{out:?}");
     assert!(out.contains(&Output::Forget { task }));
 }
 
+/// A read that ends well after it was thought overdue, before or after its task is forgotten, or may have ended well
+/// although it told no good end: its state is let go of, once, and not while another shot could take one.
+#[test]
+fn what_reads_may_have_left_is_let_go_of() {
+    let released = |out: &[Output]| -> Vec<(String, bool)> {
+        let name = |o: &Output| match o {
+            Output::Release { held, sure } => Some((held.state.clone(), *sure)),
+            _ => None,
+        };
+        out.iter().filter_map(name).collect()
+    };
+    // Overdue at 4 s: its task is bounced and forgotten, then its read is told.
+    let mut play = Play::new("replayable");
+    let (task, _) = play.arrive();
+    let out = play.wait(ms(5000));
+    assert!(answers(&out) == 1 && released(&out).is_empty(), "{out:?}");
+    play.core.carried_out();
+    play.arrive();
+    let out = play.close(task, 0, Outcome::Read);
+    assert_eq!(released(&out), [("s0".to_owned(), true)]);
+    // Ended badly, and so once more: both may have left a state of one name.
+    for outcome in [Outcome::Broken, Outcome::TimedOut, Outcome::Stale, Outcome::Cancelled] {
+        let mut play = Play::new("replayable");
+        let (task, _) = play.arrive();
+        let mut out = Vec::new();
+        for shot in 0..2 {
+            let end = End { state: Some("s".to_owned()), ..End::default() };
+            out.extend(play.on(Input::Closed { task, shot, outcome, end }));
+        }
+        assert!(released(&out).is_empty(), "{outcome:?}: {out:?}");
+        let out = play.on(Input::Gone { task });
+        let out = [out, play.close(task, 2, Outcome::Cancelled)].concat();
+        assert_eq!(released(&out), [("s".to_owned(), false)], "{outcome:?}: {out:?}");
+        assert_eq!(out.last(), Some(&Output::Forget { task }));
+    }
+}
+
 /// What comes for a task that has ended, or for the next owner of its place, changes nothing.
 #[test]
 fn late_words_change_nothing() {
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -215,7 +215,7 @@
                 let state = held.zip(from);
                 let about = in_hand.task.clone();
                 let until = shared.start + until;
-                let shot = shot::Shot { shared, id: task, task: about, number: shot, out, until };
+                let shot = shot::Shot { shared, id: task, task: about, number: shot, host, out, until };
                 spawn(move || shot.run(way, errand, state));
             }
             Output::Cancel { task, shot } => {
@@ -223,7 +223,7 @@
                     out.cancel();
                 }
             }
-            Output::Release { held } => {
+            Output::Release { held, .. } => {
                 if let Some(way) = self.way(held.host) {
                     spawn(move || shot::release(&shared, &way, &held.state));
                 }
--- a/crates/dispatcher/src/relay.rs
+++ b/crates/dispatcher/src/relay.rs
@@ -230,7 +230,7 @@
 impl Relay {
     fn end(&self, load: Option<Load>) -> End {
         let (kept_tokens, answer_tokens) = (self.counted.cached_tokens, self.counted.output_tokens);
-        End { kept_tokens, prompt_tokens: self.counted.prompt_tokens, answer_tokens, load, state: None }
+        End { kept_tokens, prompt_tokens: self.counted.prompt_tokens, answer_tokens, load, ..End::default() }
     }
 
     fn no_more_pings(&mut self) {
--- a/crates/dispatcher/src/shot.rs
+++ b/crates/dispatcher/src/shot.rs
@@ -24,6 +24,7 @@
     pub id: TaskId,
     pub task: Arc<Task>,
     pub number: u32,
+    pub host: u32,
     pub out: Arc<Out>,
     pub until: Instant,
 }
@@ -160,7 +161,7 @@
         if errand == Errand::Read {
             let body = reply.whole_body(self.until).map_err(unanswered)?;
             give_back(way, reply);
-            return Ok(read_answer(&body, load));
+            return Ok(read_answer(&body, load, self.host));
         }
         self.first_piece(reply, load)
     }
@@ -207,7 +208,7 @@
     }
 }
 
-fn read_answer(body: &[u8], load: Option<Load>) -> Done {
+fn read_answer(body: &[u8], load: Option<Load>, host: u32) -> Done {
     let piece = std::str::from_utf8(body).ok().and_then(engine::piece).filter(|piece| !piece.error);
     let Some(Piece { state: Some(state), usage, .. }) = piece else {
         return Done::Ended(Outcome::Error, End { load, ..End::default() });
@@ -216,7 +217,7 @@
         usage.map_or((0, 0), |usage| (usage.cached_tokens, usage.prompt_tokens));
     Done::Ended(
         Outcome::Read,
-        End { kept_tokens, prompt_tokens, load, state: Some(state.state_id), ..End::default() },
+        End { kept_tokens, prompt_tokens, load, state: Some(state.state_id), host, ..End::default() },
     )
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,4 @@
 //! Sockets on coroutines of `may`: whole writes and reads against a moment, and pools of idle connections.
-//! Loopback only.
 
 mod sleep;
 mod watch;
@@ -118,7 +117,7 @@
     }
 }
 
-/// A listening socket on loopback.
+/// A listening socket.
 pub struct Listener {
     io: Arc<Waited<TcpListener>>,
     closed: AtomicBool,
@@ -126,10 +125,6 @@
 
 impl Listener {
     pub fn bind(address: SocketAddr) -> io::Result<Listener> {
-        if !address.ip().is_loopback() {
-            let why = format!("{address} is no loopback address: none other is listened on");
-            return Err(io::Error::new(io::ErrorKind::InvalidInput, why));
-        }
         Ok(Listener { io: Waited::new(TcpListener::bind(address)?)?, closed: AtomicBool::new(false) })
     }
 
@@ -231,9 +226,9 @@
         Ok(Link { inner })
     }
 
-    /// Connects to a loopback address.
+    /// Connects to an address.
     pub fn connect(address: &SocketAddr, within: Duration) -> Result<Link, Fault> {
-        if !address.ip().is_loopback() || within.is_zero() {
+        if within.is_zero() {
             return Err(Fault::NoConnection);
         }
         Self::connect_by(address, Instant::now() + within).map_err(|_| Fault::NoConnection)
@@ -425,6 +420,11 @@
         }
     }
 
+    /// Whether any is idle.
+    pub fn any(&self) -> bool {
+        self.idle.lock().is_ok_and(|idle| !idle.is_empty())
+    }
+
     pub fn put(&self, link: Link) {
         if let Ok(mut idle) = self.idle.lock()
             && idle.len() < self.most
--- a/crates/net/tests/waits.rs
+++ b/crates/net/tests/waits.rs
@@ -5,7 +5,7 @@
 use std::os::fd::OwnedFd;
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
-use tulipstall_net::{Fault, Link, set_up, spawn};
+use tulipstall_net::{Fault, Link, Listener, set_up, spawn};
 
 const SHORT: Duration = Duration::from_millis(200);
 
@@ -27,6 +27,17 @@
     (address, (listener, queue))
 }
 
+/// Addresses are listened on and dialled as told, not only those of loopback: the unspecified one is none, and leads
+/// there.
+#[test]
+fn addresses_are_dialled_as_told() {
+    set_up(1, 128 << 10);
+    let listener = Listener::bind("0.0.0.0:0".parse().expect("an address")).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connected = spawn(move || Link::connect(&address, SHORT).is_ok()).join().expect("no panic");
+    assert!(connected && !address.ip().is_loopback());
+}
+
 #[test]
 fn a_wait_ends_by_its_moment() {
     set_up(1, 128 << 10);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -392,6 +392,7 @@
         let host = head.text("host").unwrap_or_default().to_owned();
         let task = Task::new((call.id, call.ask), head.target.clone(), host, body, self.sender.clone());
         let task = Arc::new(task);
+        shared.unsettled.fetch_add(1, Ordering::SeqCst);
         shared.posts.post(Post::Arrive(task.clone()));
         let waited = catch_unwind(AssertUnwindSafe(|| self.wait_for_answer(&task, keeps)));
         let (answer, keeps) = waited.unwrap_or_else(|_| {
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -3,14 +3,18 @@
 
 use crate::owner::Post;
 use crate::{Shared, lock};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tulipstall::door::Names;
 use tulipstall::interface::Standing;
 use tulipstall_core::Input;
 use tulipstall_net::{Link, Pool};
+use tulipstall_platform::letting_go;
 use tulipstall_platform::registry::List;
 
 /// The way to one process of a host.
@@ -24,6 +28,9 @@
     gone: AtomicBool,
     /// Shots whose request has been written and that have not ended.
     pub out: AtomicUsize,
+    zone: u32,
+    /// The last that was wanted of it failed: it may be cut off.
+    doubted: AtomicBool,
 }
 
 impl Way {
@@ -46,29 +53,56 @@
     pub fn address(&self) -> SocketAddr {
         self.pool.address()
     }
+
+    /// It has answered, or did not.
+    pub fn answers(&self, it_does: bool) {
+        self.doubted.store(!it_does, Ordering::Relaxed);
+    }
 }
 
 pub struct Hosts {
     ways: Mutex<BTreeMap<String, Arc<Way>>>,
+    zones: Mutex<Zones>,
+    chance: Mutex<Pcg32>,
     idle_for: Duration,
 }
 
+/// Zones by the numbers that they are given as they are first listed, and which is the own one.
+struct Zones {
+    names: Names,
+    here: Option<u32>,
+}
+
 /// Idle connections to one host: the one used last is taken first, so that more serve a burst only.
 const IDLE: usize = 8;
 
 impl Hosts {
-    pub fn new(idle_for: Duration) -> Self {
-        Hosts { ways: Mutex::default(), idle_for }
+    pub fn new(idle_for: Duration, seed: u64, zone: Option<&str>) -> Self {
+        let mut names = Names::default();
+        let here = zone.and_then(|zone| names.enter(zone));
+        let (zones, chance) = (Mutex::new(Zones { names, here }), Mutex::new(Pcg32::seed_from_u64(seed)));
+        Hosts { ways: Mutex::default(), zones, chance, idle_for }
     }
 
     pub fn way(&self, name: &str) -> Option<Arc<Way>> {
         lock(&self.ways).get(name).cloned()
     }
 
-    /// Any running host but one.
-    pub fn other(&self, than: Option<&Way>) -> Option<Arc<Way>> {
-        let other = |way: &&Arc<Way>| way.open() && than.is_none_or(|than| way.name != than.name);
-        lock(&self.ways).values().find(other).cloned()
+    /// Whom to tell next to let go of what is held for a task: who holds it, and who was told in vain.
+    pub fn next_told(&self, holds: &str, in_vain: &[Arc<Way>]) -> Option<Arc<Way>> {
+        let open: Vec<Arc<Way>> = lock(&self.ways).values().filter(|way| way.open()).cloned().collect();
+        let here = lock(&self.zones).here;
+        let about = |way: &Arc<Way>| letting_go::Host {
+            zone: way.zone,
+            near: Some(way.zone) == here,
+            doubted: way.doubted.load(Ordering::Relaxed),
+            ready: way.pool.any(),
+            tried: in_vain.iter().filter(|told| told.name == way.name).count() as u32,
+        };
+        let hosts: Vec<letting_go::Host> = open.iter().map(about).collect();
+        let at = open.iter().position(|way| way.name == holds);
+        let mut chance = lock(&self.chance);
+        letting_go::next(&hosts, at, || chance.next_u32()).map(|at| open[at].clone())
     }
 
     /// Lets go of idle connections that are too old.
@@ -92,7 +126,7 @@
     /// Takes a list, whole or what changed.
     pub fn apply(&self, shared: &Shared, list: &List, whole: bool) {
         {
-            let mut ways = lock(&self.ways);
+            let (mut ways, mut zones) = (lock(&self.ways), lock(&self.zones));
             if whole {
                 let listed: std::collections::BTreeSet<&str> =
                     list.hosts.iter().map(|line| line.host.as_str()).collect();
@@ -115,6 +149,9 @@
                         closed: AtomicBool::new(false),
                         gone: AtomicBool::new(false),
                         out: AtomicUsize::new(0),
+                        // Past the bound of names all share one.
+                        zone: zones.names.enter(&line.site).unwrap_or(u32::MAX),
+                        doubted: AtomicBool::new(false),
                     }),
                 };
                 way.stands(line.standing());
--- /dev/null
+++ b/crates/node/src/letting_go.rs
@@ -0,0 +1,82 @@
+//! Tells hosts to let go of what they hold for a task, until one has answered.
+
+use crate::Shared;
+use crate::hosts::Way;
+use crate::shot::give_back;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tulipstall_net::{Fault, Link, Reply};
+use tulipstall_platform::host::{self, ANSWER};
+use tulipstall_platform::letting_go::{once_more, pause, within};
+
+/// Counted from the moment that it is owed, so that nothing stops before it is done.
+pub struct LettingGo {
+    shared: Arc<Shared>,
+    id: String,
+    /// Who holds it, or may.
+    at: String,
+    sure: bool,
+}
+
+impl LettingGo {
+    pub fn new(shared: Arc<Shared>, id: String, at: String, sure: bool) -> Self {
+        shared.unsettled.fetch_add(1, Ordering::SeqCst);
+        LettingGo { shared, id, at, sure }
+    }
+
+    pub fn run(self) {
+        let from = Instant::now();
+        self.tell(from);
+        if !self.sure {
+            // The read may have ended well after that, where its host could not see that nobody waits any more.
+            tulipstall_net::sleep(once_more(self.shared.release).saturating_sub(from.elapsed()));
+            self.tell(from);
+        }
+    }
+
+    fn tell(&self, from: Instant) {
+        let shared = &self.shared;
+        let within = within(shared.release);
+        let mut in_vain: Vec<Arc<Way>> = Vec::new();
+        while let Some(wait) = pause(in_vain.len() as u32, shared.release) {
+            tulipstall_net::sleep(wait);
+            let Some(way) = shared.hosts.next_told(&self.at, &in_vain) else { break };
+            let answer = self.ask(&way, within);
+            way.answers(answer.is_ok());
+            let (id, host, ms) = (&self.id, &way.name, from.elapsed().as_millis() as u64);
+            let tries = in_vain.len() + 1;
+            tracing::debug!(id, host, at = self.at, sure = self.sure, ?answer, tries, ms, "let go");
+            match answer {
+                Ok(()) => return,
+                Err(_) => in_vain.push(way),
+            }
+        }
+        let (id, tries, ms) = (&self.id, in_vain.len(), from.elapsed().as_millis() as u64);
+        tracing::warn!(id, at = self.at, tries, ms, "what is held could not be let go of: no host answers");
+    }
+
+    fn ask(&self, way: &Way, within: Duration) -> Result<(), Fault> {
+        let (shared, until) = (&self.shared, Instant::now() + within);
+        let link = match shared.kept(way) {
+            Some((link, _)) => link,
+            None => Link::connect(&way.address(), shared.connect.min(within))?,
+        };
+        // Told to drain or gone meanwhile.
+        if !way.open() {
+            return Err(Fault::NoConnection);
+        }
+        link.write(host::release(&way.name, &self.id).as_bytes(), until)?;
+        let mut reply = Reply::new(link, ANSWER);
+        let head = reply.head(until)?;
+        reply.whole_body(until)?;
+        give_back(shared, way, reply);
+        if head.status < 300 { Ok(()) } else { Err(Fault::Rubbish) }
+    }
+}
+
+impl Drop for LettingGo {
+    fn drop(&mut self) {
+        self.shared.unsettled.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod front;
 mod hosts;
+mod letting_go;
 mod owner;
 mod registry;
 mod relay;
@@ -56,6 +57,8 @@
     draining: AtomicBool,
     /// Tasks taken whose client has not had its last byte yet.
     in_hand: AtomicUsize,
+    /// Tasks that the decisions still have, and states that hosts are to let go of.
+    unsettled: AtomicUsize,
     /// Their ids: one that is in hand is no other client's to use.
     ids: Mutex<HashSet<String>>,
     clients: front::Clients,
@@ -112,12 +115,13 @@
             names: Names::new(&start.terms),
             start: Instant::now(),
             posts: Posts { sender, room: Arc::new(Semphore::new(POSTS)) },
-            hosts: Hosts::new(idle_for),
+            hosts: Hosts::new(idle_for, start.seed, start.terms.text("zone")),
             room: Room::new(start.limits.sockets),
             connect: span("allowed.connect_timeout_us", Duration::from_millis(250)),
             release: span("service.release_us", Duration::from_secs(1)),
             draining: AtomicBool::new(false),
             in_hand: AtomicUsize::new(0),
+            unsettled: AtomicUsize::new(0),
             ids: Mutex::default(),
             clients: front::Clients::default(),
             kept: Mutex::default(),
@@ -154,7 +158,8 @@
         self.listener.close();
         loop {
             shared.clients.close_idle();
-            if shared.in_hand.load(Ordering::SeqCst) == 0 && shared.clients.count() == 0 {
+            let owed = shared.in_hand.load(Ordering::SeqCst) + shared.unsettled.load(Ordering::SeqCst);
+            if owed == 0 && shared.clients.count() == 0 {
                 return;
             }
             thread::sleep(Duration::from_millis(20));
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -3,7 +3,8 @@
 use crate::Shared;
 use crate::front::Message;
 use crate::hosts::Way;
-use crate::shot::{self, Shot};
+use crate::letting_go::LettingGo;
+use crate::shot::Shot;
 use crate::task::{Out, Task};
 use may::sync::mpsc::Receiver;
 use std::io;
@@ -19,8 +20,6 @@
     Gone(Arc<Task>),
     /// For the decisions as it stands.
     Told(Input),
-    /// A read ended so that its host may hold a state that nobody knows of.
-    Unsure(TaskId, u32),
 }
 
 pub fn start(shared: Arc<Shared>, posts: Receiver<Post>, core: Core) -> io::Result<()> {
@@ -41,7 +40,6 @@
     id: TaskId,
     task: Arc<Task>,
     shots: Vec<Arc<Out>>,
-    unsure: Option<u32>,
 }
 
 struct Owner {
@@ -103,12 +101,6 @@
                 None => return,
             },
             Some(Post::Told(input)) => input,
-            Some(Post::Unsure(id, host)) => {
-                if let Some(held) = self.held(id) {
-                    held.unsure = Some(host);
-                }
-                return;
-            }
         };
         self.core.on(now, input, out);
     }
@@ -119,7 +111,7 @@
         task.set_place(id);
         let place = id.place as usize;
         self.tasks.resize_with(self.tasks.len().max(place + 1), || None);
-        self.tasks[place] = Some(InHand { id, task: task.clone(), shots: Vec::new(), unsure: None });
+        self.tasks[place] = Some(InHand { id, task: task.clone(), shots: Vec::new() });
         self.core.arrive(now, id, &task.ask, out);
     }
 
@@ -139,11 +131,6 @@
         self.ways[at].clone()
     }
 
-    fn release(&mut self, host: u32, id: String) {
-        let (way, shared) = (self.way(host), self.shared.clone());
-        spawn(move || shot::release(&shared, way, &id));
-    }
-
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Send { task, shot, host, errand, until, .. } => {
@@ -163,7 +150,11 @@
                 }
             }
             // A state has its task's id.
-            Output::Release { held } => self.release(held.host, held.state),
+            Output::Release { held, sure } => {
+                let (at, shared) = (self.core.host_name(held.host).unwrap_or_default(), self.shared.clone());
+                let letting_go = LettingGo::new(shared, held.state, at.to_owned(), sure);
+                spawn(move || letting_go.run());
+            }
             Output::Bounce { task, come_back } => {
                 let Some(held) = self.held(task) else { return };
                 if held.task.close() {
@@ -182,11 +173,9 @@
                 tracing::info!(host = self.core.host_name(host).unwrap_or("a host"), "{what}");
             }
             Output::Forget { task } => {
-                let Some(held) = self.held(task) else { return };
-                let (unsure, name) = (held.unsure, held.task.id.clone());
-                self.tasks[task.place as usize] = None;
-                if let Some(host) = unsure {
-                    self.release(host, name);
+                if self.held(task).is_some() {
+                    self.tasks[task.place as usize] = None;
+                    self.shared.unsettled.fetch_sub(1, Ordering::SeqCst);
                 }
             }
         }
--- a/crates/node/src/shot.rs
+++ b/crates/node/src/shot.rs
@@ -14,7 +14,7 @@
 use tulipstall_net::{Fault, Link, Reply};
 use tulipstall_platform::host::{self, ANSWER, Events, Says};
 use tulipstall_platform::kept::Kept;
-use tulipstall_platform::patience;
+use tulipstall_platform::{letting_go, patience};
 
 pub struct Shot {
     pub shared: Arc<Shared>,
@@ -97,7 +97,7 @@
 
 impl Shared {
     /// A kept connection to a host that is worth writing to, and how long it was idle.
-    fn kept(&self, way: &Way) -> Option<(Link, Duration)> {
+    pub fn kept(&self, way: &Way) -> Option<(Link, Duration)> {
         let now = self.now();
         way.pool.idle_if(|idle| lock(&self.kept).trusts(now, idle))
     }
@@ -126,11 +126,9 @@
             Err(outcome) => {
                 let outcome = self.seen(outcome);
                 self.note(&way, outcome, sent, 0);
-                if self.reads && !outcome.never_ran() {
-                    // It may have been read all the same, and then a state waits there.
-                    self.shared.posts.post(Post::Unsure(self.id, self.host));
-                }
-                closing.close(outcome, End::default());
+                // It may have been read all the same, and then a state waits there.
+                let state = (self.reads && !outcome.never_ran()).then(|| self.task.id.clone());
+                closing.close(outcome, End { state, host: self.host, ..End::default() });
             }
             Ok(Done::Begins(begins)) => {
                 if !self.out.begin() || !self.task.take(self.number) {
@@ -148,6 +146,9 @@
     }
 
     fn note(&self, way: &Way, outcome: Outcome, sent: Instant, kept: u32) {
+        if let Some(it_does) = letting_go::answers(outcome) {
+            way.answers(it_does);
+        }
         let (ms, after) = (sent.elapsed().as_millis() as u64, (sent - self.task.arrived).as_millis() as u64);
         let (id, host) = (&self.task.id, &way.name);
         tracing::debug!(id, shot = self.number, host, reads = self.reads, ?outcome, after, ms, kept, "shot");
@@ -208,7 +209,8 @@
                 give_back(&self.shared, way, reply);
                 let Some(kept_tokens) = host::kept(&body) else { return Err(Outcome::Error) };
                 let state = Some(task.id.clone());
-                let end = End { kept_tokens, prompt_tokens: task.ask.prompt_tokens, state, ..End::default() };
+                let (prompt_tokens, host) = (task.ask.prompt_tokens, self.host);
+                let end = End { kept_tokens, prompt_tokens, state, host, ..End::default() };
                 Ok(Done::Ended(Outcome::Read, end))
             }
             Says::Ended(outcome) => {
@@ -238,33 +240,3 @@
         }
     }
 }
-
-/// Lets go of what is held for a task. Any host can be told; the one that read is asked first. The tries hold against
-/// a connection that breaks or a host that is away.
-pub fn release(shared: &Shared, way: Option<Arc<Way>>, id: &str) {
-    // A tenth of the time for letting go each: the decisions leave three tenths of it.
-    let within = shared.release / 10;
-    let mut next = way;
-    for _ in 0..3 {
-        let Some(way) = next.take().or_else(|| shared.hosts.other(None)) else { break };
-        if ask(shared, &way, &host::release(&way.name, id), within).is_some() {
-            return;
-        }
-        next = shared.hosts.other(Some(&way));
-    }
-    tracing::warn!(id, "what is held could not be let go of");
-}
-
-fn ask(shared: &Shared, way: &Way, request: &str, within: Duration) -> Option<()> {
-    let until = Instant::now() + within;
-    let link = match shared.kept(way) {
-        Some((link, _)) => link,
-        None => Link::connect(&way.address(), shared.connect.min(within)).ok()?,
-    };
-    link.write(request.as_bytes(), until).ok()?;
-    let mut reply = Reply::new(link, ANSWER);
-    let head = reply.head(until).ok()?;
-    reply.whole_body(until).ok()?;
-    give_back(shared, way, reply);
-    (head.status < 300).then_some(())
-}
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -39,6 +39,7 @@
 /// What those who share it do with their next calls.
 type Script = Arc<Mutex<VecDeque<Does>>>;
 
+#[derive(Clone)]
 struct Host {
     name: &'static str,
     address: SocketAddr,
@@ -46,6 +47,9 @@
     script: Script,
     /// Drops whatever comes over a connection that was used before.
     forgets: Arc<AtomicBool>,
+    /// Nothing that comes gets to it, nothing that it says gets out.
+    cut: Arc<AtomicBool>,
+    zone: &'static str,
 }
 
 fn event(text: &str) -> String {
@@ -60,21 +64,28 @@
 impl Host {
     /// A reader's name begins with r.
     fn start(name: &'static str, script: &Script) -> Host {
+        Self::start_in("a", name, script)
+    }
+
+    fn start_in(zone: &'static str, name: &'static str, script: &Script) -> Host {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let seen = Arc::new(Mutex::new(Seen::default()));
         let forgets = Arc::new(AtomicBool::new(false));
-        let about = (seen.clone(), script.clone(), forgets.clone());
+        let cut = Arc::new(AtomicBool::new(false));
+        let host = Host { name, address, seen, script: script.clone(), forgets, cut, zone };
+        let about = host.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let about = about.clone();
-                thread::spawn(move || Self::serve(name, stream, &about.0, &about.1, &about.2));
+                thread::spawn(move || about.serve(stream));
             }
         });
-        Host { name, address, seen, script: script.clone(), forgets }
+        host
     }
 
-    fn serve(name: &str, mut stream: TcpStream, seen: &Mutex<Seen>, script: &Script, forgets: &AtomicBool) {
+    fn serve(&self, mut stream: TcpStream) {
+        let Host { name, seen, script, forgets, .. } = self;
         let mut reader = RequestReader::new(Limits::default());
         let mut buffer = [0; 65_536];
         let mut used = false;
@@ -90,6 +101,9 @@
                 },
                 Err(_) => return,
             };
+            while self.cut.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+            }
             let call = format!("{} {}", head.method, head.target);
             let id = head.text("x-txn").unwrap_or_default().to_owned();
             seen.lock().expect("no panic").calls.push((call.clone(), id.clone(), Instant::now()));
@@ -215,15 +229,15 @@
 fn line(host: &Host, health: &str) -> String {
     let class = if host.name.starts_with('r') { "reads" } else { "writes" };
     format!(
-        "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"a\",\"class\":\"{class}\",\"block\":0,\"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}",
-        host.name, host.address
+        "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"{class}\",\"block\":0,\"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}",
+        host.name, host.address, host.zone
     )
 }
 
 fn node(registry: &Registry, sockets: usize) -> Node {
     let config = format!(
         r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
-        "settings":{{"Kinds":["reads","writes"],"Zones":["a"],"Zone":"a","Balancers":1,"Me":0,
+        "settings":{{"Kinds":["reads","writes"],"Zones":["a","b"],"Zone":"a","Balancers":1,"Me":0,
           "Domain":{{"RoleByKind":["read","write"],"ReleaseUs":1000000,"TokenAimUs":[60000.0]}},
           "Permissions":{{"Cancel":true,"MaxAttempts":6,"RetryAfter":true,"MaxRetryAfterUs":1000000,"ConnectTimeoutUs":250000,"KeepaliveUs":15000000}},
           "Profiles":[{{"Name":"chat","TargetUs":1500000,"HardLimitUs":3000000,"Idempotency":"pure","Group":"all"}}]}}}}"#,
@@ -557,3 +571,76 @@
     });
     assert!(TcpStream::connect(address).is_err(), "new connections are refused");
 }
+
+/// A zone is cut off while many tasks hold states there: whoever of the other zone can be reached is told in time, and
+/// not one host by all.
+#[test]
+fn states_behind_a_cut_are_let_go_of_elsewhere() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let (reads, writes) = (Script::default(), Script::default());
+    let there = ["a1", "a2", "a3", "r1", "r2"]
+        .map(|name| Host::start_in("b", name, if name.starts_with('r') { &reads } else { &writes }));
+    let here = ["w8", "w9"].map(|name| Host::start(name, &writes));
+    writes.lock().expect("no panic").extend([Does::Silent; 1000]);
+    let all: Vec<&Host> = there.iter().chain(&here).collect();
+    let node = node(&Registry::start(&all), 256);
+    let ends: Vec<(String, Instant)> = thread::scope(|scope| {
+        let asks = (0..40).map(|i| {
+            let (id, address) = (format!("cut{i:03}"), node.address());
+            let call = call(&id, "Connection: close\r\n").replace("Remaining-Ms: 2500", "Remaining-Ms: 1200");
+            scope.spawn(move || {
+                let answer = ask(address, &call);
+                assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+                (id, Instant::now())
+            })
+        });
+        let asks: Vec<_> = asks.collect();
+        thread::sleep(Duration::from_millis(400));
+        let read = there.iter().flat_map(Host::calls).filter(|(call, ..)| call.starts_with("POST")).count();
+        assert!(read >= 40, "{read} calls before the cut");
+        there.iter().for_each(|host| host.cut.store(true, Ordering::SeqCst));
+        asks.into_iter().map(|ask| ask.join().expect("no panic")).collect()
+    });
+    // The stated time is a second from the last outcome.
+    thread::sleep(Duration::from_secs(1));
+    let told = here.each_ref().map(Host::calls);
+    for (id, ended) in &ends {
+        let path = format!("DELETE /internal/reservations/{id}");
+        let at = told.iter().flatten().filter(|(call, ..)| *call == path).map(|(.., at)| *at).min();
+        let at = at.unwrap_or_else(|| panic!("{id} is still held"));
+        assert!(at < *ended + Duration::from_millis(500), "{id}: {:?} late", at - *ended);
+    }
+    for (host, calls) in here.iter().zip(&told) {
+        let deletes = calls.iter().filter(|(call, ..)| call.starts_with("DELETE")).count();
+        assert!((8..=72).contains(&deletes), "{}: {deletes}", host.name);
+    }
+}
+
+/// A dispatcher that stops has not ended before what it holds is let go of, nor where no host can be reached does it
+/// wait for ever.
+#[test]
+fn a_stop_waits_for_what_is_held() {
+    for (back, told) in [(Some(Duration::from_millis(1200)), true), (None, false)] {
+        let p = platform(256);
+        let hosts = [p.r1.clone(), p.w1.clone(), p.w2.clone()];
+        p.w1.does(&[Does::Silent; 50]);
+        let address = p.node.address();
+        let call = call("held", "").replace("Remaining-Ms: 2500", "Remaining-Ms: 600");
+        let asks = thread::spawn(move || ask(address, &call));
+        thread::sleep(Duration::from_millis(300));
+        hosts.iter().for_each(|host| host.cut.store(true, Ordering::SeqCst));
+        thread::spawn({
+            let hosts = hosts.clone();
+            move || {
+                thread::sleep(back.unwrap_or(Duration::from_secs(20)));
+                hosts.iter().for_each(|host| host.cut.store(false, Ordering::SeqCst));
+            }
+        });
+        let from = Instant::now();
+        p.node.stop();
+        assert!(from.elapsed() < Duration::from_secs(6), "{:?}", from.elapsed());
+        assert!(asks.join().expect("no panic").starts_with("HTTP/1.1 503"));
+        let freed = |host: &Host| host.calls().iter().any(|(call, ..)| call.ends_with("reservations/held"));
+        assert_eq!(hosts.iter().any(freed), told, "{back:?}");
+    }
+}
--- /dev/null
+++ b/crates/platform/src/letting_go.rs
@@ -0,0 +1,132 @@
+//! Who is told next to let go of what hosts hold for a task, and how long that may take. Any running host can be told, and
+//! passes it on. Who read the prompt may be behind the very cut that ended the read, and so may all of its zone: hence
+//! the next to be told should share as little as possible with those that did not answer.
+
+use std::time::Duration;
+use tulipstall::interface::Outcome;
+
+/// A host that may be told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Host {
+    pub zone: u32,
+    /// Of the own zone: what cuts zones apart leaves these.
+    pub near: bool,
+    /// The last that was wanted of it failed.
+    pub doubted: bool,
+    /// A connection to it is open.
+    pub ready: bool,
+    /// How often it was asked in vain for this task.
+    pub tried: u32,
+}
+
+/// The decisions leave three tenths of the time: a tenth for each try lets three of them fail.
+const TRIES: u32 = 10;
+
+/// Tries that follow at once. All that is left then is silence on all sides, as when the own way out is cut.
+const AT_ONCE: u32 = 6;
+
+/// How often it is told at most: after that, some three times the stated time, hosts free by themselves what is left.
+const MOST: u32 = 16;
+
+/// What a shot's end tells of whether its host can be reached, if anything.
+pub fn answers(outcome: Outcome) -> Option<bool> {
+    use Outcome::*;
+    match outcome {
+        Read | Delivered | Full | NoState | Error | Spoilt => Some(true),
+        Broken | NoConnection | TimedOut | Cancelled => Some(false),
+        Stale | Moot => None,
+    }
+}
+
+/// How long one host may take to answer.
+pub fn within(release: Duration) -> Duration {
+    release / TRIES
+}
+
+/// How long to wait before another try after so many; absent: it is given up.
+pub fn pause(tries: u32, release: Duration) -> Option<Duration> {
+    match tries {
+        MOST.. => None,
+        AT_ONCE.. => Some(release / 5),
+        _ => Some(Duration::ZERO),
+    }
+}
+
+/// After a read that ended in silence: it may still have been under way when its host was told, where that was cut off.
+/// Told once more then, well inside the time.
+pub fn once_more(release: Duration) -> Duration {
+    release / 3
+}
+
+/// Whom to tell: who holds it, if it answers; else the one least tried, of a zone tried least, that is not doubted, near,
+/// and needs no new connection; of those alike one by chance, so that not all dispatchers meet at one host.
+pub fn next(hosts: &[Host], holds: Option<usize>, mut chance: impl FnMut() -> u32) -> Option<usize> {
+    if let Some(at) = holds.filter(|at| hosts.get(*at).is_some_and(|host| !host.doubted && host.tried == 0)) {
+        return Some(at);
+    }
+    let in_vain = |zone: u32| -> u32 {
+        hosts.iter().filter(|host| host.zone == zone).map(|host| host.tried + u32::from(host.doubted)).sum()
+    };
+    let zones: Vec<u32> = hosts.iter().map(|host| in_vain(host.zone)).collect();
+    let rank = |(at, host): (usize, &Host)| {
+        ((host.tried, host.doubted, zones[at], !host.near, !host.ready, chance()), at)
+    };
+    hosts.iter().enumerate().map(rank).min().map(|(_, at)| at)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn host(zone: u32, near: bool, doubted: bool, ready: bool, tried: u32) -> Host {
+        Host { zone, near, doubted, ready, tried }
+    }
+
+    #[test]
+    fn the_next_to_be_told_has_another_fate() {
+        let (here, there) = (host(0, true, false, false, 0), host(1, false, false, false, 0));
+        let (lost, tried) = (host(1, false, true, false, 0), host(1, false, true, false, 1));
+        for (name, hosts, holds, told) in [
+            ("who holds it", vec![here, there], Some(1), Some(1)),
+            ("who holds it does not answer", vec![there, lost, here], Some(1), Some(2)),
+            ("nobody", vec![], None, None),
+            ("the only one, again", vec![tried], Some(0), Some(0)),
+            (
+                "another zone than the one tried",
+                vec![tried, there, host(2, false, false, false, 0)],
+                Some(0),
+                Some(2),
+            ),
+            ("the own zone is lost", vec![host(0, true, true, false, 1), here, there], Some(0), Some(2)),
+            ("an open connection", vec![here, host(0, true, false, true, 0)], None, Some(1)),
+            ("all were tried", vec![host(0, true, true, false, 2), tried], Some(0), Some(1)),
+        ] {
+            assert_eq!(next(&hosts, holds, || 7), told, "{name}");
+        }
+    }
+
+    #[test]
+    fn of_hosts_alike_each_is_told_by_chance() {
+        let mut seed = 1_u32;
+        let mut chance = || {
+            seed = seed.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            seed >> 8
+        };
+        let mut told = [0; 16];
+        for _ in 0..1600 {
+            told[next(&[Host::default(); 16], None, &mut chance).expect("a host")] += 1;
+        }
+        assert!(told.iter().all(|times| (50..200).contains(times)), "{told:?}");
+    }
+
+    /// Three tries fit into what the decisions leave of the time; all tries end.
+    #[test]
+    fn tries_are_bounded() {
+        let release = Duration::from_secs(1);
+        assert!(3 * within(release) <= release * 3 / 10 && once_more(release) < release / 2);
+        let pauses: Vec<Duration> = (1..).map_while(|tries| pause(tries, release)).collect();
+        assert!(pauses[..5].iter().all(Duration::is_zero) && pauses.len() < 20);
+        let longest = within(release) * pauses.len() as u32 + pauses.iter().sum::<Duration>();
+        assert!(longest > 3 * release && longest < 5 * release, "{longest:?}");
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod call;
 pub mod host;
 pub mod kept;
+pub mod letting_go;
 pub mod patience;
 pub mod registry;
 pub mod room;
