Let no dispatcher of hundreds take its few streams for a full fleet; agree on a session's reader

At fault: Rules::room, which takes own streams times the dispatchers for everybody's: one stream stood for 300, seven or eight were all memory of some 50 writers. Where one stream alone stands for more than a writer's memory, own counts no longer tell; what is reported does, and late first tokens.

Also seen: of 1,236 turns whose session had been read before, 641 went to another reader, with 2,845 tokens left to read instead of 778; sessions without a shared text always, as alike readers were taken by chance. They are now taken by a hash of the session.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -403,7 +403,9 @@
             ("broken off", false)
         });
         let ms = task.arrived.elapsed().as_millis() as u64;
-        tracing::debug!(id = task.id, answer, ms, "task ended");
+        let (prompt, session, shared) = (task.ask.prompt_tokens, &task.ask.session, &task.ask.shared);
+        let (session, shared) = (session.as_deref().unwrap_or(""), shared.as_deref().unwrap_or(""));
+        tracing::debug!(id = task.id, answer, ms, prompt, session, shared, "task ended");
         keeps
     }
 
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -28,7 +28,7 @@
     gone: AtomicBool,
     /// Shots whose request has been written and that have not ended.
     pub out: AtomicUsize,
-    zone: u32,
+    pub zone: u32,
     /// The last that was wanted of it failed: it may be cut off.
     doubted: AtomicBool,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -136,7 +136,8 @@
         }
         registry::start(shared.clone());
         front::start(shared.clone(), listener.clone());
-        tracing::info!(name = start.name, %address, sockets = start.limits.sockets, "runs");
+        let zone = start.terms.text("zone").unwrap_or_default();
+        tracing::info!(name = start.name, %address, sockets = start.limits.sockets, zone, "runs");
         Ok(Node { shared, listener, address })
     }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -88,7 +88,8 @@
             let Some(Some(way)) = self.ways.get(host as usize) else { continue };
             let (name, out) = (&way.name, way.out.load(Ordering::Relaxed));
             let Belief { shots, reading, writing, doubt, slow } = belief;
-            tracing::debug!(host = name, shots, out, reading, writing, doubt, slow, "believes");
+            let zone = way.zone;
+            tracing::debug!(host = name, zone, shots, out, reading, writing, doubt, slow, "believes");
         }
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -533,10 +533,15 @@
         if last.is_some() {
             return last;
         }
-        // Less than a step apart is alike: own zone, then chance, so that dispatchers don't follow others.
-        let alike = (0..).zip(&self.counts).filter(|(_, count)| within(**count, STEP));
-        let own = |h: u32| self.zone == self.hosts[h as usize].listed.zone;
-        alike.map(|(h, _)| (own(h), self.chance.next(), h)).max().map(|(.., h)| h)
+        // Less than a step apart is alike: own zone, then by a hash of the session, so that dispatchers don't
+        // follow others and yet bring its next turn to the same reader.
+        let (alike, key) = ((0..).zip(&self.counts), self.tasks[t].order.session);
+        let ranked = alike.filter(|(_, count)| within(**count, STEP)).map(|(h, _): (u32, _)| {
+            let host = &self.hosts[h as usize];
+            let by = key.map_or_else(|| self.chance.part(), |key| Self::home_rank(key, host));
+            (host.listed.zone == self.zone, by, h)
+        });
+        ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
     }
 
     /// What all would send a cell's writers if each state stayed in its cell, against what they can take.
@@ -622,14 +627,18 @@
     }
 
     /// Overload: what the writers have no memory for is bounced unread, a quarter past the full for what
-    /// brings the most. Own streams stand for all dispatchers', unless more is reported.
+    /// brings the most. Own streams stand for all dispatchers', unless more is reported or one alone would
+    /// stand for more than a writer's memory: among hundreds of dispatchers who has a few more than others
+    /// would bounce what the writers have room for. There late first tokens tell (`read_in_time`).
     fn room(&self, t: usize) -> bool {
         let writers = self.peers(Role::Writer).chain(self.peers(Role::Mixed));
+        let stream = (f64::from(self.tasks[t].order.prompt_tokens) + self.tasks[t].output) * self.dispatchers;
         // A host lost without notice counts no longer once it is suspected.
         let memory = |host: &Host| host.listed.memory_tokens.unwrap_or(0.0) * (1.0 - host.doubt(self.now));
         let (held, memory) = writers.fold((0.0, 0.0), |sum, (_, host)| {
-            let held = (host.writing * self.dispatchers).max(host.memory_held * memory(host));
-            (sum.0 + held, sum.1 + memory(host))
+            let thin = stream > host.listed.memory_tokens.unwrap_or(0.0);
+            let own = if thin { 0.0 } else { host.writing * self.dispatchers };
+            (sum.0 + own.max(host.memory_held * memory(host)), sum.1 + memory(host))
         });
         memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
     }
