Let go of a state that a writer did not find: its reader may be cut off from that writer alone

Ruled out: letting go in vain (no such line, no warning in any log). At fault: Core::closed forgot what was held once a writer answered that it found no state; a writer that can't reach the reader says the same, and the state waits on. Now it counts among what reads may have left and is let go of with the task. Test: what_reads_may_have_left_is_let_go_of.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -596,8 +596,14 @@
             self.note_read(now, task, host, &end);
         }
         let Some(life) = self.life(task) else { return };
-        if matches!(outcome, Outcome::NoState | Outcome::Delivered | Outcome::Spoilt) {
-            life.held = None;
+        match outcome {
+            Outcome::Delivered | Outcome::Spoilt => life.held = None,
+            // Its writer found none: it may be where only that writer can't reach it. Holds against cut off readers.
+            Outcome::NoState => {
+                let held = life.held.take();
+                life.leaves(held);
+            }
+            _ => {}
         }
         if outcome == Outcome::Read {
             life.held = held;
--- a/crates/core/tests/life.rs
+++ b/crates/core/tests/life.rs
@@ -207,6 +207,23 @@
     play.arrive();
     let out = play.close(task, 0, Outcome::Read);
     assert_eq!(released(&out), [("s0".to_owned(), true)]);
+    // Its writer finds no state: its reader may be cut off from that writer alone. Let go of with the task, whatever
+    // ended it.
+    for gone in [true, false] {
+        let mut play = Play::new("replayable");
+        let (task, _) = play.reading_done();
+        let mut out = play.close(task, 1, Outcome::NoState);
+        assert_eq!((released(&out), out_to(&out)), (vec![], 0));
+        if gone {
+            out = play.on(Input::Gone { task });
+            out.extend(play.close(task, 2, Outcome::Cancelled));
+        } else {
+            out = play.close(task, 2, Outcome::Read);
+            play.on(Input::Began { task, shot: 3 });
+            out.extend(play.close(task, 3, Outcome::Delivered));
+        }
+        assert_eq!(released(&out), [("s0".to_owned(), false)], "{out:?}");
+    }
     // Ended badly, and so once more: both may have left a state of one name.
     for outcome in [Outcome::Broken, Outcome::TimedOut, Outcome::Stale, Outcome::Cancelled] {
         let mut play = Play::new("replayable");
