--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -657,7 +657,7 @@
     let script = Script::default();
     let (reader, writer) = (Host::start("r", &script), Host::start("w", &script));
     let named = |i: usize| {
-        let host = if i % 2 == 0 { &reader } else { &writer };
+        let host = if i.is_multiple_of(2) { &reader } else { &writer };
         Host { name: Box::leak(format!("{}{i:04}", host.name).into_boxed_str()), ..host.clone() }
     };
     let memory = || -> u64 {
@@ -678,8 +678,8 @@
     };
     serve(0);
     let from = Instant::now();
-    for i in 0..614 {
-        registry.tell(format!("{},{}", line(&hosts[i], "left"), line(&named(2000 + i), "active")));
+    for (i, host) in hosts.iter().enumerate().take(614) {
+        registry.tell(format!("{},{}", line(host, "left"), line(&named(2000 + i), "active")));
     }
     serve(40);
     serve(80);
