--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -571,11 +571,11 @@
         task: TaskId,
         shot: u32,
         outcome: Outcome,
-        end: End,
+        mut end: End,
         out: &mut Vec<Output>,
     ) {
-        let held =
-            end.state.clone().map(|state| Held { host: end.host, state, kept_tokens: end.kept_tokens });
+        let state = end.state.take();
+        let held = state.map(|state| Held { host: end.host, state, kept_tokens: end.kept_tokens });
         let Some(life) = self.life(task) else {
             // Its shot was overdue, its place may have a new owner: nobody else knows of the state.
             return out.extend(held.map(|held| Output::Release { held, sure: outcome == Outcome::Read }));
@@ -586,7 +586,6 @@
         };
         about.out = false;
         let (host, reads) = (about.host, about.reads);
-        let held = held.map(|held| Held { host, ..held });
         if !about.reads && !outcome.never_ran() {
             let ran = Ran { host, sent: about.sent };
             out.extend(life.may_have_run(ran).then_some(Output::Ran { task, ran }));
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -62,26 +62,23 @@
 
 pub struct Hosts {
     ways: Mutex<BTreeMap<String, Arc<Way>>>,
-    zones: Mutex<Zones>,
+    /// Zones by the numbers that they are given as they are first listed.
+    zones: Mutex<Names>,
+    /// The own one.
+    here: Option<u32>,
     chance: Mutex<Pcg32>,
     idle_for: Duration,
 }
 
-/// Zones by the numbers that they are given as they are first listed, and which is the own one.
-struct Zones {
-    names: Names,
-    here: Option<u32>,
-}
-
 /// Idle connections to one host: the one used last is taken first, so that more serve a burst only.
 const IDLE: usize = 8;
 
 impl Hosts {
     pub fn new(idle_for: Duration, seed: u64, zone: Option<&str>) -> Self {
-        let mut names = Names::default();
-        let here = zone.and_then(|zone| names.enter(zone));
-        let (zones, chance) = (Mutex::new(Zones { names, here }), Mutex::new(Pcg32::seed_from_u64(seed)));
-        Hosts { ways: Mutex::default(), zones, chance, idle_for }
+        let mut zones = Names::default();
+        let here = zone.and_then(|zone| zones.enter(zone));
+        let (zones, chance) = (Mutex::new(zones), Mutex::new(Pcg32::seed_from_u64(seed)));
+        Hosts { ways: Mutex::default(), zones, here, chance, idle_for }
     }
 
     pub fn way(&self, name: &str) -> Option<Arc<Way>> {
@@ -91,10 +88,9 @@
     /// Whom to tell next to let go of what is held for a task: who holds it, and who was told in vain.
     pub fn next_told(&self, holds: &str, in_vain: &[Arc<Way>]) -> Option<Arc<Way>> {
         let open: Vec<Arc<Way>> = lock(&self.ways).values().filter(|way| way.open()).cloned().collect();
-        let here = lock(&self.zones).here;
         let about = |way: &Arc<Way>| letting_go::Host {
             zone: way.zone,
-            near: Some(way.zone) == here,
+            near: Some(way.zone) == self.here,
             doubted: way.doubted.load(Ordering::Relaxed),
             ready: way.pool.any(),
             tried: in_vain.iter().filter(|told| told.name == way.name).count() as u32,
@@ -150,7 +146,7 @@
                         gone: AtomicBool::new(false),
                         out: AtomicUsize::new(0),
                         // Past the bound of names all share one.
-                        zone: zones.names.enter(&line.site).unwrap_or(u32::MAX),
+                        zone: zones.enter(&line.site).unwrap_or(u32::MAX),
                         doubted: AtomicBool::new(false),
                     }),
                 };
--- a/crates/node/src/letting_go.rs
+++ b/crates/node/src/letting_go.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use tulipstall_net::{Fault, Link, Reply};
+use tulipstall_net::{Fault, Reply};
 use tulipstall_platform::host::{self, ANSWER};
 use tulipstall_platform::letting_go::{once_more, pause, within};
 
@@ -38,7 +38,7 @@
     fn tell(&self, from: Instant) {
         let shared = &self.shared;
         let within = within(shared.release);
-        let mut in_vain: Vec<Arc<Way>> = Vec::new();
+        let (mut in_vain, mut why): (Vec<Arc<Way>>, _) = (Vec::new(), Fault::NoConnection);
         while let Some(wait) = pause(in_vain.len() as u32, shared.release) {
             tulipstall_net::sleep(wait);
             let Some(way) = shared.hosts.next_told(&self.at, &in_vain) else { break };
@@ -49,19 +49,19 @@
             tracing::debug!(id, host, at = self.at, sure = self.sure, ?answer, tries, ms, "let go");
             match answer {
                 Ok(()) => return,
-                Err(_) => in_vain.push(way),
+                Err(fault) => {
+                    why = fault;
+                    in_vain.push(way);
+                }
             }
         }
         let (id, tries, ms) = (&self.id, in_vain.len(), from.elapsed().as_millis() as u64);
-        tracing::warn!(id, at = self.at, tries, ms, "what is held could not be let go of: no host answers");
+        tracing::warn!(id, at = self.at, tries, ms, ?why, "what is held could not be let go of");
     }
 
     fn ask(&self, way: &Way, within: Duration) -> Result<(), Fault> {
         let (shared, until) = (&self.shared, Instant::now() + within);
-        let link = match shared.kept(way) {
-            Some((link, _)) => link,
-            None => Link::connect(&way.address(), shared.connect.min(within))?,
-        };
+        let (link, _) = shared.link(way, within)?;
         // Told to drain or gone meanwhile.
         if !way.open() {
             return Err(Fault::NoConnection);
--- a/crates/node/src/shot.rs
+++ b/crates/node/src/shot.rs
@@ -97,10 +97,18 @@
 
 impl Shared {
     /// A kept connection to a host that is worth writing to, and how long it was idle.
-    pub fn kept(&self, way: &Way) -> Option<(Link, Duration)> {
+    fn kept(&self, way: &Way) -> Option<(Link, Duration)> {
         let now = self.now();
         way.pool.idle_if(|idle| lock(&self.kept).trusts(now, idle))
     }
+
+    /// A kept connection, and how long it was idle; else a new one.
+    pub fn link(&self, way: &Way, within: Duration) -> Result<(Link, Option<Duration>), Fault> {
+        match self.kept(way) {
+            Some((link, idle)) => Ok((link, Some(idle))),
+            None => Ok((Link::connect(&way.address(), self.connect.min(within))?, None)),
+        }
+    }
 }
 
 /// Puts a connection back whose answer has ended in good order.
@@ -170,13 +178,7 @@
         if left(self.until).is_zero() {
             return Err(Outcome::Moot);
         }
-        let (link, idle) = match self.shared.kept(way) {
-            Some((link, idle)) => (link, Some(idle)),
-            None => {
-                let within = self.shared.connect.min(left(self.until));
-                (Link::connect(&way.address(), within).map_err(|_| Outcome::NoConnection)?, None)
-            }
-        };
+        let (link, idle) = self.shared.link(way, left(self.until)).map_err(|_| Outcome::NoConnection)?;
         self.out.hold(Some(&link));
         may()?;
         let task = &self.task;
--- a/crates/platform/src/letting_go.rs
+++ b/crates/platform/src/letting_go.rs
@@ -2,6 +2,7 @@
 //! passes it on. Who read the prompt may be behind the very cut that ended the read, and so may all of its zone: hence
 //! the next to be told should share as little as possible with those that did not answer.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tulipstall::interface::Outcome;
 
@@ -64,12 +65,12 @@
     if let Some(at) = holds.filter(|at| hosts.get(*at).is_some_and(|host| !host.doubted && host.tried == 0)) {
         return Some(at);
     }
-    let in_vain = |zone: u32| -> u32 {
-        hosts.iter().filter(|host| host.zone == zone).map(|host| host.tried + u32::from(host.doubted)).sum()
-    };
-    let zones: Vec<u32> = hosts.iter().map(|host| in_vain(host.zone)).collect();
+    let mut in_vain: BTreeMap<u32, u32> = BTreeMap::new();
+    for host in hosts {
+        *in_vain.entry(host.zone).or_default() += host.tried + u32::from(host.doubted);
+    }
     let rank = |(at, host): (usize, &Host)| {
-        ((host.tried, host.doubted, zones[at], !host.near, !host.ready, chance()), at)
+        ((host.tried, host.doubted, in_vain[&host.zone], !host.near, !host.ready, chance()), at)
     };
     hosts.iter().enumerate().map(rank).min().map(|(_, at)| at)
 }
