Forget only what a host held before its doubt began, not what it read since

Cause: Prefixes::read forgot all of a host's holdings at its second contradiction, those read after the first one too. A read for which too little was thought no longer counts as bearing the host out. The package's test has a text between the two contradictions and fails without it.

--- a/crates/prefix/src/belief.rs
+++ b/crates/prefix/src/belief.rs
@@ -33,7 +33,9 @@
 /// What a read says of what was thought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
-    /// It found all, or too little was thought to tell.
+    /// Too little was thought to tell.
+    Silent,
+    /// It found all.
     Sound,
     /// It found less: the ends of texts give way to others.
     Evicted,
@@ -108,7 +110,7 @@
     /// A read found so many blocks of those thought kept.
     pub fn note(&mut self, now: Duration, host: u32, thought: u32, found: u32) -> Sign {
         if thought < LEAST {
-            return Sign::Sound;
+            return Sign::Silent;
         }
         let found = found.min(thought);
         let plainly = f64::from(found) < PLAINLY * f64::from(thought);
--- a/crates/prefix/src/index.rs
+++ b/crates/prefix/src/index.rs
@@ -67,6 +67,8 @@
     told: u32,
     room: u32,
     list: List,
+    /// While it is doubted: the newest of the holdings from before, none where all of them are gone.
+    doubted: Option<u32>,
 }
 
 /// Blocks by their hashes, and their hosts.
@@ -145,7 +147,8 @@
     fn host(&mut self, host: u32) -> &mut Host {
         let at = host as usize;
         if self.hosts.len() <= at {
-            self.hosts.resize(at + 1, Host { held: 0, told: u32::MAX, room: u32::MAX, list: EMPTY });
+            self.hosts
+                .resize(at + 1, Host { held: 0, told: u32::MAX, room: u32::MAX, list: EMPTY, doubted: None });
             self.seen.resize(at + 1, 0);
         }
         &mut self.hosts[at]
@@ -394,7 +397,11 @@
 
     fn unlink_holding(&mut self, at: u32) {
         let Holding { host, newer, older, .. } = self.holdings[at as usize];
-        let list = &mut self.hosts[host as usize].list;
+        let about = &mut self.hosts[host as usize];
+        if about.doubted == Some(at) {
+            about.doubted = Some(older);
+        }
+        let list = &mut about.list;
         match newer {
             NONE => list.newest = older,
             newer => self.holdings[newer as usize].older = older,
@@ -470,11 +477,30 @@
 
     /// A host holds nothing any more.
     pub fn forget(&mut self, host: u32) {
-        self.host(host);
-        while self.hosts[host as usize].held > 0 {
+        self.trust(host);
+        self.forget_doubted(host);
+    }
+
+    /// What a host is thought to hold now may be gone; what it reads from here on counts.
+    pub fn doubt(&mut self, host: u32) {
+        let host = self.host(host);
+        host.doubted = Some(host.list.newest);
+    }
+
+    pub fn trust(&mut self, host: u32) {
+        self.host(host).doubted = None;
+    }
+
+    /// A host holds no more what it was thought to hold when its doubt began, or now where it was not doubted.
+    pub fn forget_doubted(&mut self, host: u32) {
+        if self.host(host).doubted.is_none() {
+            self.doubt(host);
+        }
+        // Each that is dropped is the oldest: the last one passes the mark on to none.
+        while self.hosts[host as usize].doubted != Some(NONE) {
             self.drop_oldest_of(host, &[]);
         }
         let host = self.host(host);
-        host.room = host.told;
+        (host.room, host.doubted) = (host.told, None);
     }
 }
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -76,8 +76,11 @@
     /// it had forgotten.
     pub fn read(&mut self, now: Duration, host: u32, chain: &[u64], thought: u32, found: u32) -> bool {
         let sign = self.beliefs.note(now, host, thought, found);
-        if sign == Sign::Forgot {
-            self.index.forget(host);
+        match sign {
+            Sign::Contradicts => self.index.doubt(host),
+            Sign::Forgot => self.index.forget_doubted(host),
+            Sign::Sound | Sign::Evicted => self.index.trust(host),
+            Sign::Silent => {}
         }
         self.index.read(now, host, chain, sign == Sign::Evicted);
         sign == Sign::Forgot
--- a/crates/prefix/tests/belief.rs
+++ b/crates/prefix/tests/belief.rs
@@ -14,19 +14,19 @@
     // Reads as (thought, found); whether it has forgotten by the last of them, and the belief after it.
     type Case = (&'static str, &'static [(u32, u32)], Sign, f64, f64);
     let cases: [Case; 9] = [
-        ("nothing known", &[], Sign::Sound, 1.0, 1.0),
+        ("nothing known", &[], Sign::Silent, 1.0, 1.0),
         ("borne out", &[(10, 10), (40, 40)], Sign::Sound, 1.0, 1.0),
         ("ends of texts are evicted", &[(40, 30), (40, 30), (40, 30), (40, 30)], Sign::Evicted, 0.7, 0.85),
         ("within what counting differs by", &[(40, 33), (40, 33)], Sign::Sound, 0.8, 0.95),
         ("one plain contradiction", &[(40, 0)], Sign::Contradicts, 0.2, 0.4),
         ("two of them", &[(40, 0), (40, 0)], Sign::Forgot, 1.0, 1.0),
         ("two with one that was right between", &[(40, 0), (40, 40), (40, 0)], Sign::Contradicts, 0.3, 0.6),
-        ("too little to tell", &[(3, 0), (3, 0), (3, 0)], Sign::Sound, 1.0, 1.0),
+        ("too little to tell", &[(3, 0), (3, 0), (3, 0)], Sign::Silent, 1.0, 1.0),
         ("more than thought is no sign", &[(10, 50)], Sign::Sound, 1.0, 1.0),
     ];
     for (what, reads, forgot, least, most) in cases {
         let mut beliefs = Beliefs::default();
-        let mut last = Sign::Sound;
+        let mut last = Sign::Silent;
         for (i, (thought, found)) in reads.iter().enumerate() {
             last = beliefs.note(s(i as f64), 5, *thought, *found);
         }
@@ -96,13 +96,17 @@
         let thought = kept[0].blocks;
         assert_eq!(thought as usize, chain(text).len());
         prefixes.read(s(2.0), 0, &chain(text), thought, 0);
+        // A text that nobody held comes between the two that show it.
+        prefixes.read(s(2.0), 0, &chain(60 + text), 0, 0);
     }
     for text in 2..50 {
         prefixes.ask(s(3.0), &chain(text), &mut kept);
         assert!(kept.is_empty(), "{text} is gone");
     }
-    prefixes.ask(s(3.0), &chain(1), &mut kept);
-    assert_eq!((kept.len(), kept[0].blocks as usize, kept[0].belief), (1, chain(1).len(), 1.0));
+    for text in [0, 1, 60, 61] {
+        prefixes.ask(s(3.0), &chain(text), &mut kept);
+        assert_eq!((kept.len(), kept[0].blocks as usize, kept[0].belief), (1, chain(text).len(), 1.0));
+    }
     // Its process began anew: nothing is left.
     prefixes.listed(0, Some(10_000), true);
     prefixes.ask(s(4.0), &chain(1), &mut kept);
