Call off what waits for a client that has left, in the module too

Cause: `plan` wanted nothing for a task that had ended, so its shots stayed out.

Now a shot that has not begun is called off once its client has left, where allowed. Harmless where hosts go on with running work; may hurt nowhere seen.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -740,10 +740,14 @@
     }
 
     fn plan(&mut self, t: usize) {
-        let now = self.now;
+        let (now, cancel) = (self.now, self.terms.flag("allowed.cancel"));
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
         task.want = Wanted::default();
         if task.ended {
+            // Its client has left: what still waits or is read for it delays others. Holds against clients that
+            // leave before their time and ask again at once.
+            let waits = |shot: &Shot| shot.out && shot.started.is_none() && !shot.cancelled;
+            task.want.cancel = task.shots.iter().position(waits).filter(|_| cancel);
             return;
         }
         if let Some(i) = task.shots.iter().position(|shot| shot.out) {
@@ -772,7 +776,6 @@
             (Some((h, _)), Some(from)) if cell(from) != cell(h) => 6.0 * far.max(0.1 * agreed),
             _ => near,
         };
-        let cancel = self.terms.flag("allowed.cancel");
         let task = &mut self.tasks[t];
         task.want.keep = task.want.answer.is_none();
         if let Some((h, part)) = pick {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -806,6 +806,35 @@
     assert_eq!(sent(&desk.close(20, 1, 0, Cancelled)), Some(1 - reader));
 }
 
+#[test]
+fn what_waits_for_a_client_that_has_left_is_called_off() {
+    // How far the task has come: its read is out, its stream is asked for, it has begun; where nothing may be called off.
+    for (case, allowed, called_off) in [
+        ("read", "true", Some(0)),
+        ("asked for", "true", Some(1)),
+        ("begun", "true", None),
+        ("read", "false", None),
+    ] {
+        let mut desk = Desk::new(&[("allowed.cancel", allowed)], &[(READER, 0), (WRITER, 0)]);
+        desk.order(0, 1, 1, 1000);
+        if case != "read" {
+            desk.close(30, 1, 0, Read);
+        }
+        if case == "begun" {
+            desk.tell(40, Event::Started { task: 1, shot: 1 });
+        }
+        let actions = desk.tell(50, Event::ClientGone { task: 1 });
+        let found = actions.iter().find_map(|action| match action {
+            Action::Cancel { task: 1, shot } => Some(*shot),
+            _ => None,
+        });
+        assert_eq!(found, called_off, "{case}: {actions:?}");
+        // Called off once, whatever comes next.
+        let again = desk.list(60, 1, Standing::Draining, None);
+        assert!(!again.iter().any(|action| matches!(action, Action::Cancel { .. })), "{case}: {again:?}");
+    }
+}
+
 #[test]
 fn a_shot_overtaken_at_its_host_is_let_go_of() {
     // When a later task's shot, of an offering that the host does answer, went to the same writer; whether the
