Bring sessions back to homes found to keep them; nobody waits half the agreed time

Logged for each pick: 20 to 35% left the home, nearly all because of tokens to read there, and homes agreed in 87 to 99%. At fault: `kept` deducted a home's shared text alone, not the session's own earlier prompt; sessions without a shared text had no home at all (prompts of 10,000 tokens went anywhere); and queues as long as the agreed time make counts differ by more than one long prompt by chance.

- Sessions without a shared text have a home among all that read, where there are others.
- Nobody is read behind more than half the agreed time, in proportion to the gain; what brings the most was exempt.
Not for what may have run: it has nowhere else to go.

May hurt: a home whose cache was lost is thought to keep until some reads show it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,6 @@
 pub use crate::state::Rules;
 use crate::state::{Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted};
 use crate::state::{find_kept, highest, kept_by, note_demand, note_kept};
-use std::cmp::Ordering;
 use std::time::Duration;
 
 /// A step's own cost beside the tokens that it reads: under the smallest chunk that engines read in.
@@ -153,6 +152,7 @@
         self.demand.add(now, 30.0, 1.0);
         self.unread += 1;
         let homes = self.find_homes(order);
+        let home = self.find_home(order, &homes);
         let told = &self.offerings[offering];
         let prompt = f64::from(order.prompt_tokens);
         let task = &mut self.tasks[t];
@@ -165,6 +165,7 @@
             offering,
             rank,
             homes,
+            home,
             arrived: now,
             due: now + Duration::from_secs_f64(told.agreed + told.agreed_per_token * prompt),
             wait_until: now + Duration::from_secs_f64(told.agreed / 2.0),
@@ -235,6 +236,7 @@
             _ => {}
         }
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
+        let task_home = task.home;
         let patient = now >= shot.sent + task.patience;
         if closed.outcome == Outcome::TimedOut && !patient {
             // A tenth more for each shot out of time, a hundredth less for one that came: settles at one in
@@ -300,6 +302,10 @@
         if !shot.failed && shot.part != Part::Write {
             let read = order.prompt_tokens.saturating_sub(closed.kept_tokens);
             self.anew.add(f64::from(read), f64::from(order.prompt_tokens), POOL);
+            if task_home == Some(shot.host) {
+                let rest = |tokens: u32| f64::from(tokens.saturating_sub(order.shared_tokens));
+                self.homed.add(rest(closed.kept_tokens), rest(order.prompt_tokens), POOL);
+            }
             // What the note says was kept counts: a host that forgot one text has likely forgotten more.
             if shot.thought_kept > 0 {
                 let found = closed.kept_tokens.min(shot.thought_kept);
@@ -334,7 +340,7 @@
     /// Tokens of a task's prompt that a host is told to hold, else thought to have kept. A text not known to
     /// be kept anywhere is thought kept at its homes; the note on the first read corrects that.
     fn kept(&self, t: usize, h: u32) -> u32 {
-        let (order, homes) = (&self.tasks[t].order, &self.tasks[t].homes);
+        let Task { order, homes, home, .. } = &self.tasks[t];
         let thought = if homes.contains(&h) { order.shared_tokens } else { 0 };
         if let Some(told) = self.tasks[t].told(h) {
             return if self.tasks[t].known() { told } else { told.max(thought) };
@@ -343,7 +349,9 @@
         let since = self.now.saturating_sub(Duration::from_secs(60));
         let shared =
             kept_by(&self.shared, order.shared, h, since).unwrap_or(thought).min(order.shared_tokens);
-        kept_by(&self.sessions, order.session, h, since).unwrap_or(0).min(order.prompt_tokens).max(shared)
+        let of_session = if *home == Some(h) { self.at_home(order) } else { 0 };
+        let session = kept_by(&self.sessions, order.session, h, since).unwrap_or(of_session);
+        session.min(order.prompt_tokens).max(shared)
     }
 
     /// Prompt tokens left to read: kept ones are deducted as far as the host's notes have borne them out of
@@ -369,25 +377,43 @@
         highest(wanted, readers().map(|(h, host)| (Self::home_rank(key, host), h)))
     }
 
-    /// The session's last reader; where another dispatcher had it, the one among the text's homes that a hash
-    /// of the session ranks highest, in the own zone first, stands in for it.
+    /// The session's last reader; where another dispatcher had it, its home stands in for it.
     fn last_reader(&self, t: usize) -> Option<u32> {
         let (task, order) = (&self.tasks[t], &self.tasks[t].order);
         // One that is told to hold nothing of it has lost it: no reason to go back.
         let holds = |h: &u32| task.told(*h) != Some(0);
         let last = |table: &[Kept], key: Option<Key>| find_kept(table, key)?.last.filter(holds);
-        let home = |key: Key| {
-            let rank = |h: u32| {
-                let host = &self.hosts[h as usize];
-                (host.listed.zone == self.zone, Self::home_rank(key, host) / host.part)
-            };
-            let homes = task.homes.iter().copied().filter(|h| *h != u32::MAX);
-            homes.max_by(|a, b| rank(*a).partial_cmp(&rank(*b)).unwrap_or(Ordering::Equal))
-        };
-        let known = last(&self.sessions, order.session).or_else(|| home(order.session?));
+        let known = last(&self.sessions, order.session).or(task.home);
         known.or_else(|| last(&self.shared, order.shared))
     }
 
+    /// A session that is not known here is at home at the one among its text's homes that a hash of it ranks
+    /// highest, in the own zone first; without such a text, among all that read.
+    fn find_home(&self, order: &Order, homes: &[u32; 8]) -> Option<u32> {
+        let key = order.session?;
+        // Where nobody else may have had it, one that is not known is new.
+        let known = find_kept(&self.sessions, order.session).is_some_and(|kept| kept.last.is_some());
+        if known || self.dispatchers <= 1.0 {
+            return None;
+        }
+        let texts = homes.iter().copied().filter(|h| *h != u32::MAX);
+        let all = self.peers(Role::Reader).chain(self.peers(Role::Mixed)).map(|(h, _)| h);
+        let ranked = texts.chain(all.filter(|_| order.shared.is_none())).map(|h| {
+            let host = &self.hosts[h as usize];
+            let part = if order.shared.is_none() { 1.0 } else { host.part };
+            (host.listed.zone == self.zone, Self::home_rank(key, host) / part, h)
+        });
+        ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
+    }
+
+    /// Tokens thought to be kept at a session's home: its shared text, and of the rest as much as reads there found of
+    /// late. Where dispatchers see little, most turns of a session were seen by others. Not where counts don't
+    /// tell who is loaded: sessions would stay with readers that choke, unseen.
+    fn at_home(&self, order: &Order) -> u32 {
+        let rest = f64::from(order.prompt_tokens.saturating_sub(order.shared_tokens));
+        order.shared_tokens + (rest * self.homed.value() * (1.0 - self.thin())) as u32
+    }
+
     /// Weighted rendezvous hashing: highest on each host in proportion to its part of the tasks.
     fn home_rank(key: Key, host: &Host) -> f64 {
         host.part / -Chance(key.mark ^ host.listed.mark).mixed().part().ln().min(-1e-12)
@@ -502,6 +528,12 @@
         near + leaves * (far - near)
     }
 
+    /// How little own counts tell of who is loaded: all where readers see a few long prompts from here a minute, nothing
+    /// where they report tokens.
+    fn thin(&self) -> f64 {
+        4.0 * self.long_prompt / (4.0 * self.long_prompt + self.asked)
+    }
+
     /// Pending tokens of a host for a task that would add `net`, suspicion and slowness charged in tokens.
     fn pending(&self, h: u32, part: Part, net: f64) -> f64 {
         let host = &self.hosts[h as usize];
@@ -518,7 +550,7 @@
         // long prompts for each part beyond its own, as far as own counts are thin and no reader reports
         // tokens. A long prompt each is taken as asked, so that the first ones weigh little.
         let (long, asked) = (self.long_prompt, host.asked.left(self.now, 60.0));
-        let thin = 4.0 * long / (4.0 * long + self.asked);
+        let thin = self.thin();
         let over = f64::max((asked + long) / (self.asked + long) - 1.0, 0.0);
         load + (moves + 3.0 * over * thin) * long
     }
@@ -664,8 +696,10 @@
         self.speed(h) * (self.to_read(h) + self.net(t, h) + STEP)
     }
 
-    /// Whether a read begun now would end in time for a first token at the agreed time. What brings less than
-    /// the most may wait for less: half the agreed time of what brings the most, in proportion to its gain.
+    /// Whether a read begun now would end in time for a first token at the agreed time, behind no more than half the
+    /// agreed time of what brings the most, in proportion to the gain. Holds against overload: with longer queues,
+    /// sessions leave the readers that have kept them, and twice the tokens are read anew. May bounce what would
+    /// have been in time.
     fn read_in_time(&self, t: usize, h: u32) -> bool {
         let (now, task, host) = (self.now, &self.tasks[t], &self.hosts[h as usize]);
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
@@ -676,7 +710,7 @@
         let trial = self.unread >= 12
             && by > 0.5 * self.offerings[task.offering].agreed
             && self.peers(host.listed.role).all(|(_, peer)| peer.reading <= 0.0);
-        let in_turn = task.rank >= 1.0 || self.speed(h) * self.to_read(h) < wait;
+        let in_turn = task.ran().next().is_some() || self.speed(h) * self.to_read(h) < wait;
         trial || (in_turn && (self.read_expected(t, h) + self.first_token(h)) * self.caution < by)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -167,6 +167,8 @@
     pub(crate) rank: f64,
     /// Readers where its shared text is at home, the highest ranked first.
     pub(crate) homes: [u32; 8],
+    /// Where its session is at home, where it is not known here.
+    pub(crate) home: Option<u32>,
     pub(crate) arrived: Duration,
     pub(crate) due: Duration,
     pub(crate) stop: Duration,
@@ -302,8 +304,10 @@
     pub(crate) told: [Ratio; 4],
     /// Seconds to a first token where the state stays in its cell, and where it leaves it.
     pub(crate) first_time: [f64; 2],
-    /// Prompt tokens that were read anew over all prompt tokens.
+    /// Prompt tokens that were read anew over all prompt tokens; beyond shared texts, those that homes of sessions had
+    /// kept.
     pub(crate) anew: Ratio,
+    pub(crate) homed: Ratio,
     /// How much sooner than agreed a task should seem to come, by how many shots ran out of time.
     pub(crate) caution: f64,
 }
