Let what brings less wait longer the more the worst-served offering weighs

At fault: read_in_time let it wait for a fifth of what the other may, 0.25 s; room() ruled out, as its limit is alike for both.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,9 +36,19 @@
 impl Rules {
     pub fn new(seed: u64, terms: &Terms) -> Self {
         let dispatchers = terms.number("dispatchers").unwrap_or(1.0).max(1.0);
+        let offerings = (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i));
+        let mut offerings: Vec<Offering> = offerings.collect();
+        // What brings less comes after what brings the most, the less so the more the worst-served one weighs.
+        let weight = |part: &str| terms.number(part).unwrap_or(0.0).clamp(0.0, 1e6);
+        let (whole, worst) = (weight("score_parts.whole"), weight("score_parts.worst_class"));
+        let most = offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
+        for offering in &mut offerings {
+            let rank = offering.gain / most;
+            offering.rank = rank + (1.0 - rank) * worst / (worst + whole).max(1e-6);
+        }
         Rules {
             chance: Chance(seed ^ 0x9e37_79b9_7f4a_7c15).mixed(),
-            offerings: (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i)).collect(),
+            offerings,
             dispatchers,
             zone: terms.number("zone_index").map_or(u32::MAX, |zone| zone as u32),
             // Until prompts have been seen: the order of magnitude at which reading is felt.
@@ -60,6 +70,7 @@
                 / 1e9,
             pace: listed("token_pace_us").unwrap_or(50_000.0).max(1.0) / 1e6,
             gain: terms.number(&own("gain")).unwrap_or(1.0),
+            rank: 1.0,
             effect: terms.text(&own("effect")).unwrap_or_default().to_owned(),
             group: terms.text(&own("group")).unwrap_or("cell").to_owned(),
             window: terms.span(&own("window_us")).unwrap_or_default(),
@@ -147,8 +158,6 @@
         let t = order.task as usize;
         self.tasks.resize_with(self.tasks.len().max(t + 1), Task::default);
         let offering = order.offering.map_or(0, |o| o as usize).min(self.offerings.len() - 1);
-        let most = self.offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
-        let rank = self.offerings[offering].gain / most;
         self.demand.add(now, 30.0, 1.0);
         self.unread += 1;
         let homes = self.find_homes(order);
@@ -163,7 +172,7 @@
             turn: task.turn.wrapping_add(1),
             order: *order,
             offering,
-            rank,
+            rank: self.offerings[offering].rank,
             homes,
             home,
             arrived: now,
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) agreed_per_token: f64,
     pub(crate) pace: f64,
     pub(crate) gain: f64,
+    /// Up to 1, for what comes first where not all can be done.
+    pub(crate) rank: f64,
     /// Anything but replayable or referenced is taken for single-use.
     pub(crate) effect: String,
     pub(crate) group: String,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -791,11 +791,18 @@
 #[test]
 fn what_cannot_be_read_in_time_is_bounced_before_the_read() {
     // Milliseconds that a prompt of 1000 tokens took of late, tokens pending at the reader, the gain of the
-    // task against the most, and the answer at once or the send.
-    let cases =
-        [(400, 4000, "1", "B"), (40, 4000, "1", "S"), (100, 6000, "1", "S"), (100, 6000, "0.25", "B")];
-    for (took, pending, gain, expected) in cases {
+    // task against the most, what the worst-served offering weighs, and the answer at once or the send.
+    let cases = [
+        (400, 4000, "1", "0", "B"),
+        (40, 4000, "1", "0", "S"),
+        (100, 6000, "1", "0", "S"),
+        (100, 6000, "0.25", "0", "B"),
+        (100, 6000, "0.25", "0.9", "S"),
+    ];
+    for (took, pending, gain, worst, expected) in cases {
         let extra = [
+            ("score_parts.whole", "0.1"),
+            ("score_parts.worst_class", worst),
             ("offerings.1.gain", gain),
             ("offerings.1.effect", "replayable"),
             ("offerings.1.agreed_time_us", "1500000"),
@@ -810,7 +817,7 @@
         }
         assert!(sent(&desk.order(12_000, 90, 90, pending)).is_some());
         desk.offering = 1;
-        assert_eq!(letters(&desk.order(12_001, 91, 91, 1000)), expected, "{took} ms, gain {gain}");
+        assert_eq!(letters(&desk.order(12_001, 91, 91, 1000)), expected, "{took} ms, gain {gain}, {worst}");
     }
 }
 
