Grow more cautious when clients leave before the agreed time

Logged for each pick: the read was expected in time (speeds of 0.6 to 2e-4 s a token, 1.6 s left as the clients tell), so what left looked like a read that took 0.65 s and was good enough. At fault: `caution` rose for shots that ran out of a client's time alone, not for clients that left. Now it rises for both, before the agreed time only: a hung host is no reason.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -97,7 +97,14 @@
         match event {
             Event::Timer { token } if about.turn != *token as u32 => return,
             Event::Timer { .. } => about.timer = None,
-            Event::ClientGone { .. } => about.ended = true,
+            Event::ClientGone { .. } => {
+                about.ended = true;
+                // As with shots out of time: half the clients may have no more patience than that.
+                let waits = about.shots.iter().any(|shot| shot.out && shot.started.is_none());
+                if waits && self.now < about.due {
+                    self.caution = (self.caution * 1.1).min(4.0);
+                }
+            }
             _ => {}
         }
         self.plan(task);
@@ -473,10 +480,9 @@
         level
     }
 
-    /// Shots a second from here that a warm host of a role read or began to answer, and tasks a second. Not those
-    /// sent: where few are left that run, they are sent far more than they can do. Where none is warm, what the
-    /// last one did; a part of the tasks at most, shared with all that do the same step. Holds against fleets
-    /// replaced at once: a role's first new hosts, few or alone, would be sent what all before them did.
+    /// Shots a second from here that a warm host of a role read or began to answer (the last one, where none is
+    /// warm), at most its part of the tasks among all that do the same step; and tasks a second. Holds against
+    /// fleets replaced at once: few that run are sent far more than they can do, and new hosts would be sent that.
     fn pace(&self, role: Role) -> (f64, f64) {
         let now = self.now;
         // Over half a minute: shorter, and one of hundreds sees none most of the time. After a start as of so
@@ -489,14 +495,8 @@
         let reads = |role: Role| role == Role::Reader;
         let step = self.hosts.iter().filter(|host| host.runs() && reads(host.listed.role) == reads(role));
         let (asked, before) = (tasks / step.count().max(1) as f64, self.paces[role as usize].0);
-        let each = if warm > 0.0 {
-            rate / warm
-        } else if before > 0.0 {
-            before
-        } else {
-            asked
-        };
-        (asked.min(each), tasks)
+        let each = if warm > 0.0 { Some(rate / warm) } else { Some(before).filter(|before| *before > 0.0) };
+        (asked.min(each.unwrap_or(asked)), tasks)
     }
 
     fn note_paces(&mut self) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -821,6 +821,33 @@
     }
 }
 
+#[test]
+fn clients_that_leave_before_their_time_are_read_for_only_where_it_is_soon() {
+    // When the clients of a dozen tasks left while their reads were out, as long as a read takes; prompts sent to the
+    // reader then, and the answer at once to the next one or its send.
+    let cases: [(_, &[u32], _); 3] =
+        [(None, &[2500, 1200], "S"), (Some(300), &[2500, 1200], "B"), (Some(300), &[1500], "S")];
+    for (leaves, pending, expected) in cases {
+        let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0)]);
+        for task in 0..12 {
+            let at = u64::from(task) * 1000;
+            desk.order(at, task, task, 2700);
+            if let Some(leaves) = leaves {
+                desk.tell(at + leaves, Event::ClientGone { task });
+                desk.close(at + leaves, task, 0, Cancelled);
+            } else {
+                desk.close(at + 300, task, 0, Read);
+                desk.tell(at + 320, Event::Started { task, shot: 1 });
+                desk.close(at + 340, task, 1, Delivered);
+            }
+        }
+        for (task, tokens) in (90..).zip(pending) {
+            assert_eq!(letters(&desk.order(12_000, task, task, *tokens)), "S");
+        }
+        assert_eq!(letters(&desk.order(12_001, 99, 99, 1000)), expected, "{leaves:?}, {pending:?}");
+    }
+}
+
 #[test]
 fn a_slow_reader_gets_less_and_a_host_gone_loses_what_waits() {
     // How many times slower reader 0 is; the most of the next twenty tasks that it may get.
