Let go of a slow read once peers have read what was sent later

Its reason, that hosts answer first come first, says nothing of slow ones.

A read that is out for its patience (four times what is expected) is let go of where a peer has read what was sent later, while shots are left to read and write. Single use and second copies are not touched: a read has no effect, and its shot is closed first.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,7 +38,7 @@
         let dispatchers = terms.number("dispatchers").unwrap_or(1.0).max(1.0);
         let offerings = (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i));
         let mut offerings: Vec<Offering> = offerings.collect();
-        // What brings less comes after what brings the most, the less so the more the worst-served one weighs.
+        // What brings less comes after what brings most, the less so the more the worst-served one weighs.
         let weight = |part: &str| terms.number(part).unwrap_or(0.0).clamp(0.0, 1e6);
         let (whole, worst) = (weight("score_parts.whole"), weight("score_parts.worst_class"));
         let most = offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
@@ -101,9 +101,8 @@
                 about.ended = true;
                 // As with shots out of time: half the clients may have no more patience than that.
                 let waits = about.shots.iter().any(|shot| shot.out && shot.started.is_none());
-                if waits && self.now < about.due {
-                    self.caution = (self.caution * 1.1).min(4.0);
-                }
+                let left = if waits && self.now < about.due { 1.1 } else { 1.0 };
+                self.caution = (self.caution * left).min(4.0);
             }
             _ => {}
         }
@@ -270,8 +269,8 @@
         if host.shots_out == 0 {
             (host.reading, host.writing) = (0.0, 0.0);
         }
-        // Its place has a new owner, who must not pay for the one that left. Holds against fleets replaced at once,
-        // under new names, while shots are out.
+        // Its place has a new owner, who must not pay for the one that left. Holds against fleets replaced at
+        // once, under new names, while shots are out.
         if host.listed.mark != shot.mark {
             return t;
         }
@@ -341,11 +340,9 @@
     fn reported(&mut self, h: u32, load: &Load) {
         let Some(host) = self.hosts.get_mut(h as usize) else { return };
         let anew = if self.anew.done > 0.0 { self.anew.value() } else { 1.0 };
-        for (i, value) in load.values.into_iter().enumerate().take(load.count) {
-            match self
-                .terms
-                .text(["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"][i])
-            {
+        let fields = ["report.fields.0", "report.fields.1", "report.fields.2", "report.fields.3"];
+        for (field, value) in fields.into_iter().zip(load.values).take(load.count) {
+            match self.terms.text(field) {
                 Some("x0") => host.memory_held = value.clamp(0.0, 1.0),
                 Some("x1") => host.to_read = Some((self.now, value.clamp(0.0, 1e6) * 1000.0 * anew)),
                 _ => {}
@@ -415,16 +412,17 @@
         let texts = homes.iter().copied().filter(|h| *h != u32::MAX);
         let all = self.peers(Role::Reader).chain(self.peers(Role::Mixed)).map(|(h, _)| h);
         let ranked = texts.chain(all.filter(|_| order.shared.is_none())).map(|h| {
-            let host = &self.hosts[h as usize];
-            let part = if order.shared.is_none() { 1.0 } else { host.part };
+            // Homes of texts were picked by their parts.
+            let (host, part) =
+                (&self.hosts[h as usize], order.shared.map_or(1.0, |_| self.hosts[h as usize].part));
             (host.listed.zone == self.zone, Self::home_rank(key, host) / part, h)
         });
         ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
     }
 
-    /// Tokens thought to be kept at a session's home: its shared text, and of the rest as much as reads there found of
-    /// late. Where dispatchers see little, most turns of a session were seen by others. Not where counts don't
-    /// tell who is loaded: sessions would stay with readers that choke, unseen.
+    /// Tokens thought kept at a session's home: its shared text, and of the rest what reads there found.
+    /// Others saw most turns, where each sees little. Not where counts don't tell who is loaded: sessions
+    /// would stay with readers that choke, unseen.
     fn at_home(&self, order: &Order) -> u32 {
         let rest = f64::from(order.prompt_tokens.saturating_sub(order.shared_tokens));
         order.shared_tokens + (rest * self.homed.value() * (1.0 - self.thin())) as u32
@@ -471,18 +469,17 @@
         let part = (cold_from + (1.0 - cold_from) * age.max(0.0)).min(stands);
         let host = &mut self.hosts[h as usize];
         let filled = host.budget.level + (now - host.budget.at).as_secs_f64() * each * part;
-        let lapses = each
-            * part
-            * (self.terms.number("rules.fall_us").unwrap_or(0.0) / 2e6).max(2.0 / tasks.max(0.01));
+        let half = self.terms.number("rules.fall_us").unwrap_or(0.0) / 2e6;
+        let lapses = each * part * half.max(2.0 / tasks.max(0.01));
         let held = filled.fract();
         let level = if filled >= 1.0 && held < lapses { 1.0 + held } else { held };
         host.budget.set(now, level);
         level
     }
 
-    /// Shots a second from here that a warm host of a role read or began to answer (the last one, where none is
-    /// warm), at most its part of the tasks among all that do the same step; and tasks a second. Holds against
-    /// fleets replaced at once: few that run are sent far more than they can do, and new hosts would be sent that.
+    /// Shots a second from here that a warm host of a role read or began to answer (the last one, where none
+    /// is warm), at most its part of the tasks among all that do the same step; and tasks a second. Holds
+    /// against fleets replaced at once: few that run are sent more than they can do, new ones would be too.
     fn pace(&self, role: Role) -> (f64, f64) {
         let now = self.now;
         // Over half a minute: shorter, and one of hundreds sees none most of the time. After a start as of so
@@ -537,8 +534,8 @@
         near + leaves * (far - near)
     }
 
-    /// How little own counts tell of who is loaded: all where readers see a few long prompts from here a minute, nothing
-    /// where they report tokens.
+    /// How little own counts tell of who is loaded: much where readers see a few long prompts from here a
+    /// minute, not where they report tokens.
     fn thin(&self) -> f64 {
         4.0 * self.long_prompt / (4.0 * self.long_prompt + self.asked)
     }
@@ -610,9 +607,9 @@
     fn pick_reader(&mut self, t: usize) -> Option<u32> {
         let fewest = self.count(t, Part::Read);
         let within = |count: f64, margin: f64| count.is_finite() && count <= fewest + margin;
-        // A cold one that may be sent to goes first: its shot would lapse, and where hundreds see little no count
-        // tells that it is free. Holds against fleets replaced at once, whose few warm hosts choke beside cold
-        // ones that nobody picks.
+        // A cold one that may be sent to goes first: its shot would lapse, and where hundreds see little no
+        // count tells that it is free. Holds against fleets replaced at once, whose few warm hosts choke
+        // beside cold ones that nobody picks.
         let counts = (0..).zip(&self.counts).map(|(h, count)| (h, *count, &self.hosts[h as usize]));
         let cold =
             counts.filter(|(_, count, host)| self.now < host.warm_at && within(*count, self.long_prompt));
@@ -705,10 +702,9 @@
         self.speed(h) * (self.to_read(h) + self.net(t, h) + STEP)
     }
 
-    /// Whether a read begun now would end in time for a first token at the agreed time, behind no more than half the
-    /// agreed time of what brings the most, in proportion to the gain. Holds against overload: with longer queues,
-    /// sessions leave the readers that have kept them, and twice the tokens are read anew. May bounce what would
-    /// have been in time.
+    /// Whether a read begun now would end in time for a first token at the agreed time, behind no more than
+    /// half the agreed time of what brings most, in proportion to its rank. Holds against overload: with
+    /// longer queues sessions leave readers that have kept them. May bounce what would have been in time.
     fn read_in_time(&self, t: usize, h: u32) -> bool {
         let (now, task, host) = (self.now, &self.tasks[t], &self.hosts[h as usize]);
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
@@ -787,8 +783,8 @@
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
         task.want = Wanted::default();
         if task.ended {
-            // Its client has left: what still waits or is read for it delays others. Holds against clients that
-            // leave before their time and ask again at once.
+            // Its client has left: what still waits or is read for it delays others. Holds against clients
+            // that leave before their time and ask again at once.
             let waits = |shot: &Shot| shot.out && shot.started.is_none() && !shot.cancelled;
             task.want.cancel = task.shots.iter().position(waits).filter(|_| cancel);
             return;
@@ -840,26 +836,31 @@
     /// A shot is out. Hosts answer first come first: waiting at one that still works is no worse than anew
     /// elsewhere. A shot is let go of where its host is gone from the list, has answered shots sent clearly
     /// later, or has been silent three times as long while peers spoke (another's long prompt keeps a sound
-    /// reader silent). Holds against hung, cut off and dead hosts and those that lose a part or one offering
-    /// of their work; may hurt where traffic is thin or a host does not keep to the order.
+    /// reader silent); a read also where peers have read what was sent later, while shots are left. Holds
+    /// against hung, cut off, slow and dead hosts and those that lose a part or one offering of their work;
+    /// may hurt where traffic is thin, a host does not keep the order, or goes on with what is called off.
     fn watch(&mut self, t: usize, i: usize) {
-        let (now, task) = (self.now, &self.tasks[t]);
+        let (now, task, may) = (self.now, &self.tasks[t], self.terms.flag("allowed.cancel"));
         let (shot, patience, stop) = (task.shots[i], task.patience, task.stop);
         let host = &self.hosts[shot.host as usize];
-        let told = &self.offerings[task.offering];
-        let peers = self.peers(host.listed.role).any(|(_, peer)| peer.heard > shot.sent);
-        let silent = now >= shot.sent + 3 * patience && host.heard <= shot.sent && peers;
-        let overtaken = now >= shot.sent + patience && host.overtook > shot.sent + patience / 4;
-        let gone = host.listed.standing == Standing::Gone;
-        let stays = shot.part != Part::Read && !told.again(&shot, &self.hosts, None, now);
+        let peer = |when: fn(&Host) -> Duration| {
+            self.peers(host.listed.role).any(|(_, peer)| when(peer) > shot.sent)
+        };
+        let waits = |times: u32| now >= shot.sent + times * patience;
+        let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
+        let left = shot.part == Part::Read && task.shots.len() + 2 < most;
+        let slow = waits(1) && left && peer(|peer| peer.overtook);
+        let silent = waits(3) && host.heard <= shot.sent && peer(|peer| peer.heard);
+        let overtaken = waits(1) && host.overtook > shot.sent + patience / 4;
+        let lets_go = silent || overtaken || slow || host.listed.standing == Standing::Gone;
+        let again = self.offerings[task.offering].again(&shot, &self.hosts, None, now);
+        let next = if waits(1) { now + patience / 2 } else { shot.sent + patience };
         let want = &mut self.tasks[t].want;
         want.keep = true;
-        if shot.started.is_some() || shot.cancelled || stays || !self.terms.flag("allowed.cancel") {
-            return;
+        if may && (shot.part == Part::Read || again) && shot.started.is_none() && !shot.cancelled {
+            want.cancel = lets_go.then_some(i);
+            want.wake = Some(next).filter(|at| *at < stop && !lets_go);
         }
-        let next = if now < shot.sent + patience { shot.sent + patience } else { now + patience / 2 };
-        want.cancel = (silent || overtaken || gone).then_some(i);
-        want.wake = Some(next).filter(|at| *at < stop && want.cancel.is_none());
     }
 
     /// The answer goes at once. A bounce says that a repeat is harmless: only where the effect rules agree.
