Blame no host for a shot that is called off as its client left

Found by a test of the core: a host was suspected (half of certain) after two clients had left while their reads were there. At fault: closed() took every shot that was called off for one that watch() let go of. Now only while the task has not ended. All tests of the workspace pass.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -251,7 +251,7 @@
             _ => {}
         }
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
-        let task_home = task.home;
+        let (home, ended) = (task.home, task.ended);
         let patient = now >= shot.sent + task.patience;
         if closed.outcome == Outcome::TimedOut && !patient {
             // A tenth more for each shot out of time, a hundredth less for one that came: settles at one in
@@ -291,7 +291,7 @@
             Outcome::Full if refuses => 0.35,
             // A client that leaves little time says nothing of the host.
             Outcome::TimedOut if patient => 0.5,
-            Outcome::Cancelled if shot.cancelled => 0.5,
+            Outcome::Cancelled if shot.cancelled && !ended => 0.5,
             Outcome::Broken | Outcome::NoConnection => 0.6,
             _ => 0.0,
         };
@@ -317,7 +317,7 @@
         if !shot.failed && shot.part != Part::Write {
             let read = order.prompt_tokens.saturating_sub(closed.kept_tokens);
             self.anew.add(f64::from(read), f64::from(order.prompt_tokens), POOL);
-            if task_home == Some(shot.host) {
+            if home == Some(shot.host) {
                 let rest = |tokens: u32| f64::from(tokens.saturating_sub(order.shared_tokens));
                 self.homed.add(rest(closed.kept_tokens), rest(order.prompt_tokens), POOL);
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -917,9 +917,14 @@
             _ => None,
         });
         assert_eq!(found, called_off, "{case}: {actions:?}");
-        // Called off once, whatever comes next.
+        // Called off once, whatever comes next; the host is not to blame.
         let again = desk.list(60, 1, Standing::Draining, None);
         assert!(!again.iter().any(|action| matches!(action, Action::Cancel { .. })), "{case}: {again:?}");
+        if let Some(shot) = called_off {
+            desk.close(70, 1, shot, Cancelled);
+        }
+        let doubt = |host| desk.rules.belief(host, ms(80)).map_or(0.0, |belief| belief.doubt);
+        assert_eq!((doubt(0), doubt(1)), (0.0, 0.0), "{case}");
     }
 }
 
