Believe in full what a doubted host has read since its doubt began

At fault: Prefixes::ask weighed all of a host's holdings by the doubt, also those read since. Each holding now tells how often its host had been doubted by then, and while it is doubted, what was read since counts in full. Twelve bytes more for a block that three hosts hold. The package's test asks between the two contradictions and fails without it.

--- a/crates/prefix/src/index.rs
+++ b/crates/prefix/src/index.rs
@@ -54,6 +54,8 @@
     host: u32,
     /// Tenths of a second.
     at: u32,
+    /// How often its host had been doubted by then.
+    doubts: u32,
     next: u32,
     before: u32,
     newer: u32,
@@ -69,6 +71,7 @@
     list: List,
     /// While it is doubted: the newest of the holdings from before, none where all of them are gone.
     doubted: Option<u32>,
+    doubts: u32,
 }
 
 /// Blocks by their hashes, and their hosts.
@@ -147,8 +150,10 @@
     fn host(&mut self, host: u32) -> &mut Host {
         let at = host as usize;
         if self.hosts.len() <= at {
-            self.hosts
-                .resize(at + 1, Host { held: 0, told: u32::MAX, room: u32::MAX, list: EMPTY, doubted: None });
+            self.hosts.resize(
+                at + 1,
+                Host { held: 0, told: u32::MAX, room: u32::MAX, list: EMPTY, doubted: None, doubts: 0 },
+            );
             self.seen.resize(at + 1, 0);
         }
         &mut self.hosts[at]
@@ -357,6 +362,7 @@
         if let Some(holding) = self.pair(block, host) {
             self.unlink_holding(holding);
             self.holdings[holding as usize].at = at;
+            self.holdings[holding as usize].doubts = self.hosts[host as usize].doubts;
             self.link_holding(holding);
             return;
         }
@@ -364,7 +370,9 @@
             self.drop_one_holding(path);
         }
         let first = self.blocks[block as usize].first;
-        let holding = Holding { block, host, at, next: first, before: NONE, newer: NONE, older: NONE };
+        let doubts = self.host(host).doubts;
+        let holding =
+            Holding { block, host, at, doubts, next: first, before: NONE, newer: NONE, older: NONE };
         let place = if self.free_holdings == NONE {
             self.holdings.push(holding);
             self.holdings.len() as u32 - 1
@@ -485,6 +493,16 @@
     pub fn doubt(&mut self, host: u32) {
         let host = self.host(host);
         host.doubted = Some(host.list.newest);
+        host.doubts = host.doubts.wrapping_add(1);
+    }
+
+    /// Whether a host is doubted, and has read a text up to this block since.
+    pub fn since_doubt(&self, host: u32, hash: u64) -> bool {
+        let Some(about) = self.hosts.get(host as usize).filter(|host| host.doubted.is_some()) else {
+            return false;
+        };
+        let holding = self.find(hash).and_then(|block| self.pair(block, host));
+        holding.is_some_and(|at| self.holdings[at as usize].doubts == about.doubts)
     }
 
     pub fn trust(&mut self, host: u32) {
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -68,7 +68,10 @@
         out.clear();
         self.index.look_up(chain, &mut self.found);
         for &(host, blocks) in &self.found {
-            out.push(Kept { host, blocks, belief: self.beliefs.of(now, host) });
+            // What it has read since its doubt began is not what is doubted.
+            let anew = self.index.since_doubt(host, chain[blocks as usize - 1]);
+            let belief = if anew { 1.0 } else { self.beliefs.of(now, host) };
+            out.push(Kept { host, blocks, belief });
         }
     }
 
--- a/crates/prefix/tests/belief.rs
+++ b/crates/prefix/tests/belief.rs
@@ -96,8 +96,13 @@
         let thought = kept[0].blocks;
         assert_eq!(thought as usize, chain(text).len());
         prefixes.read(s(2.0), 0, &chain(text), thought, 0);
-        // A text that nobody held comes between the two that show it.
+        // A text that nobody held comes between the two that show it: known at once, while the others are doubted.
         prefixes.read(s(2.0), 0, &chain(60 + text), 0, 0);
+        for (of, believed) in [(text, true), (60 + text, true), (49, false)] {
+            prefixes.ask(s(2.0), &chain(of), &mut kept);
+            let sure = kept.first().is_some_and(|kept| kept.belief == 1.0);
+            assert_eq!(sure, believed, "{of} after {text}");
+        }
     }
     for text in 2..50 {
         prefixes.ask(s(3.0), &chain(text), &mut kept);
