--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1119,3 +1119,36 @@
         assert!((1..=10).contains(&whole), "{whole} of forty");
     }
 }
+
+#[test]
+fn settings_out_of_range_neither_panic_nor_drop_a_task() {
+    const NAMES: [&str; 14] = [
+        "dispatchers",
+        "me",
+        "allowed.max_shots",
+        "allowed.max_come_back_us",
+        "offerings.0.agreed_time_us",
+        "offerings.0.gain",
+        "offerings.0.effect",
+        "offerings.0.window_us",
+        "rules.cold_from",
+        "rules.warm_up_us",
+        "rules.fall_us",
+        "rules.fall_multiple",
+        "score_parts.worst_class",
+        "service.release_us",
+    ];
+    for name in NAMES {
+        for value in ["-1", "0", "1e18", "nothing of the kind", "true"] {
+            let mut desk = Desk::new(&[(name, value)], &[(READER, 0), (WRITER, 0), (MIXED, 0)]);
+            desk.list(1, 2, Standing::Running, Some(ms(0)));
+            // It is sent, timed or answered, never dropped.
+            assert!(!desk.order(10, 1, 1, 1000).is_empty(), "{name}={value}");
+            for at in (20..4000).step_by(10) {
+                desk.tell(at, Event::Timer { token: 1 << 32 | 1 });
+                desk.close(at + 1, 1, (at / 500) as u32, Error);
+            }
+            desk.tell(4001, Event::ClientGone { task: 1 });
+        }
+    }
+}
