Say the new decisions more simply: one check of counts, one of caution, one mark of doubt

- A prefix index host had two marks for when its doubt began, a place in the list of holdings and a number in each: the number alone says both, and taking a holding out of its list is as before.
- Growing more cautious, the pick of the highest ranked host and "out and not begun" each stood twice; a task's rank is its offering's.
- The test of late reports counted six sends and was cut to four: six again, with a longer agreed time, as the queue it builds passes half of the usual one.

--- a/crates/prefix/src/index.rs
+++ b/crates/prefix/src/index.rs
@@ -69,8 +69,8 @@
     told: u32,
     room: u32,
     list: List,
-    /// While it is doubted: the newest of the holdings from before, none where all of them are gone.
-    doubted: Option<u32>,
+    /// Whether it is doubted, and how often that has begun: what it read before holds an earlier number.
+    doubted: bool,
     doubts: u32,
 }
 
@@ -152,7 +152,7 @@
         if self.hosts.len() <= at {
             self.hosts.resize(
                 at + 1,
-                Host { held: 0, told: u32::MAX, room: u32::MAX, list: EMPTY, doubted: None, doubts: 0 },
+                Host { held: 0, told: u32::MAX, room: u32::MAX, list: EMPTY, doubted: false, doubts: 0 },
             );
             self.seen.resize(at + 1, 0);
         }
@@ -359,10 +359,11 @@
     }
 
     fn touch_holding(&mut self, block: u32, host: u32, at: u32, path: &[u32]) {
+        let doubts = self.host(host).doubts;
         if let Some(holding) = self.pair(block, host) {
             self.unlink_holding(holding);
-            self.holdings[holding as usize].at = at;
-            self.holdings[holding as usize].doubts = self.hosts[host as usize].doubts;
+            let about = &mut self.holdings[holding as usize];
+            (about.at, about.doubts) = (at, doubts);
             self.link_holding(holding);
             return;
         }
@@ -370,7 +371,6 @@
             self.drop_one_holding(path);
         }
         let first = self.blocks[block as usize].first;
-        let doubts = self.host(host).doubts;
         let holding =
             Holding { block, host, at, doubts, next: first, before: NONE, newer: NONE, older: NONE };
         let place = if self.free_holdings == NONE {
@@ -405,11 +405,7 @@
 
     fn unlink_holding(&mut self, at: u32) {
         let Holding { host, newer, older, .. } = self.holdings[at as usize];
-        let about = &mut self.hosts[host as usize];
-        if about.doubted == Some(at) {
-            about.doubted = Some(older);
-        }
-        let list = &mut about.list;
+        let list = &mut self.hosts[host as usize].list;
         match newer {
             NONE => list.newest = older,
             newer => self.holdings[newer as usize].older = older,
@@ -492,33 +488,32 @@
     /// What a host is thought to hold now may be gone; what it reads from here on counts.
     pub fn doubt(&mut self, host: u32) {
         let host = self.host(host);
-        host.doubted = Some(host.list.newest);
-        host.doubts = host.doubts.wrapping_add(1);
+        (host.doubted, host.doubts) = (true, host.doubts.wrapping_add(1));
     }
 
     /// Whether a host is doubted, and has read a text up to this block since.
     pub fn since_doubt(&self, host: u32, hash: u64) -> bool {
-        let Some(about) = self.hosts.get(host as usize).filter(|host| host.doubted.is_some()) else {
-            return false;
-        };
+        let Some(about) = self.hosts.get(host as usize).filter(|host| host.doubted) else { return false };
         let holding = self.find(hash).and_then(|block| self.pair(block, host));
         holding.is_some_and(|at| self.holdings[at as usize].doubts == about.doubts)
     }
 
     pub fn trust(&mut self, host: u32) {
-        self.host(host).doubted = None;
+        self.host(host).doubted = false;
     }
 
     /// A host holds no more what it was thought to hold when its doubt began, or now where it was not doubted.
     pub fn forget_doubted(&mut self, host: u32) {
-        if self.host(host).doubted.is_none() {
+        if !self.host(host).doubted {
             self.doubt(host);
         }
-        // Each that is dropped is the oldest: the last one passes the mark on to none.
-        while self.hosts[host as usize].doubted != Some(NONE) {
+        let Host { doubts, mut list, .. } = self.hosts[host as usize];
+        // The oldest first: all from before its doubt come before those since.
+        while list.oldest != NONE && self.holdings[list.oldest as usize].doubts != doubts {
             self.drop_oldest_of(host, &[]);
+            list = self.hosts[host as usize].list;
         }
         let host = self.host(host);
-        (host.room, host.doubted) = (host.told, None);
+        (host.room, host.doubted) = (host.told, false);
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 };
 pub use crate::state::Rules;
 use crate::state::{Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted};
-use crate::state::{find_kept, highest, kept_by, note_demand, note_kept};
+use crate::state::{find_kept, highest, highest_of, kept_by, note_demand, note_kept};
 use std::time::Duration;
 
 /// A step's own cost beside the tokens that it reads: under the smallest chunk that engines read in.
@@ -19,6 +19,12 @@
 const KEEP: f64 = 0.8;
 const POOL: f64 = 0.9;
 
+/// Whether a count of pending tokens is at most so much, and its host may be sent to at all: where none may,
+/// all counts are without bound, and so is the most.
+fn within(count: f64, most: f64) -> bool {
+    count.is_finite() && count <= most
+}
+
 impl Offering {
     /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable
     /// one always, a referenced one inside its group and window, a single-use one never.
@@ -99,10 +105,9 @@
             Event::Timer { .. } => about.timer = None,
             Event::ClientGone { .. } => {
                 about.ended = true;
-                // As with shots out of time: half the clients may have no more patience than that.
-                let waits = about.shots.iter().any(|shot| shot.out && shot.started.is_none());
-                let left = if waits && self.now < about.due { 1.1 } else { 1.0 };
-                self.caution = (self.caution * left).min(4.0);
+                if about.shots.iter().any(Shot::waits) && self.now < about.due {
+                    self.out_of_time();
+                }
             }
             _ => {}
         }
@@ -178,7 +183,6 @@
             turn: task.turn.wrapping_add(1),
             order: *order,
             offering,
-            rank: self.offerings[offering].rank,
             homes,
             home,
             arrived: now,
@@ -254,10 +258,7 @@
         let (home, ended) = (task.home, task.ended);
         let patient = now >= shot.sent + task.patience;
         if closed.outcome == Outcome::TimedOut && !patient {
-            // A tenth more for each shot out of time, a hundredth less for one that came: settles at one in
-            // ten. Holds against clients that leave little time and ask again at once, as what they left goes
-            // on.
-            self.caution = (self.caution * 1.1).min(4.0);
+            self.out_of_time();
         }
         let since = now.saturating_sub(Duration::from_secs_f64(told));
         let role = self.hosts[shot.host as usize].listed.role;
@@ -335,6 +336,13 @@
         t
     }
 
+    /// A shot ran out of its client's time, or the client left before the agreed time. A tenth more for each,
+    /// a hundredth less for one that came: settles at one in ten. Holds against clients that leave little
+    /// time and ask again at once, as what they left goes on, and against those with less patience than told.
+    fn out_of_time(&mut self) {
+        self.caution = (self.caution * 1.1).min(4.0);
+    }
+
     /// Reports in tokens or in a share of a memory told in tokens, no other. Whole prompts are reported; the
     /// part of them that reads found not kept is what delays.
     fn reported(&mut self, h: u32, load: &Load) {
@@ -411,13 +419,12 @@
         }
         let texts = homes.iter().copied().filter(|h| *h != u32::MAX);
         let all = self.peers(Role::Reader).chain(self.peers(Role::Mixed)).map(|(h, _)| h);
-        let ranked = texts.chain(all.filter(|_| order.shared.is_none())).map(|h| {
+        highest_of(texts.chain(all.filter(|_| order.shared.is_none())).map(|h| {
+            let host = &self.hosts[h as usize];
             // Homes of texts were picked by their parts.
-            let (host, part) =
-                (&self.hosts[h as usize], order.shared.map_or(1.0, |_| self.hosts[h as usize].part));
+            let part = if order.shared.is_some() { host.part } else { 1.0 };
             (host.listed.zone == self.zone, Self::home_rank(key, host) / part, h)
-        });
-        ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
+        }))
     }
 
     /// Tokens thought kept at a session's home: its shared text, and of the rest what reads there found.
@@ -606,31 +613,30 @@
     /// The reader with the fewest pending tokens; the last reader wins up to one long prompt above it.
     fn pick_reader(&mut self, t: usize) -> Option<u32> {
         let fewest = self.count(t, Part::Read);
-        let within = |count: f64, margin: f64| count.is_finite() && count <= fewest + margin;
         // A cold one that may be sent to goes first: its shot would lapse, and where hundreds see little no
         // count tells that it is free. Holds against fleets replaced at once, whose few warm hosts choke
         // beside cold ones that nobody picks.
         let counts = (0..).zip(&self.counts).map(|(h, count)| (h, *count, &self.hosts[h as usize]));
-        let cold =
-            counts.filter(|(_, count, host)| self.now < host.warm_at && within(*count, self.long_prompt));
+        let cold = counts
+            .filter(|(_, count, host)| self.now < host.warm_at && within(*count, fewest + self.long_prompt));
         let far = |host: &Host| host.listed.zone != self.zone;
         if let Some((h, ..)) = cold.min_by(|a, b| far(a.2).cmp(&far(b.2)).then(a.1.total_cmp(&b.1))) {
             return Some(h);
         }
         // Only a last reader that may be sent to counts: with none at all, both are without bound.
-        let last = self.last_reader(t).filter(|h| within(self.counts[*h as usize], self.long_prompt));
+        let last =
+            self.last_reader(t).filter(|h| within(self.counts[*h as usize], fewest + self.long_prompt));
         if last.is_some() {
             return last;
         }
         // Less than a step apart is alike: own zone, then by a hash of the session, so that dispatchers don't
         // follow others and yet bring its next turn to the same reader.
         let (alike, key) = ((0..).zip(&self.counts), self.tasks[t].order.session);
-        let ranked = alike.filter(|(_, count)| within(**count, STEP)).map(|(h, _): (u32, _)| {
+        highest_of(alike.filter(|(_, count)| within(**count, fewest + STEP)).map(|(h, _): (u32, _)| {
             let host = &self.hosts[h as usize];
             let by = key.map_or_else(|| self.chance.part(), |key| Self::home_rank(key, host));
             (host.listed.zone == self.zone, by, h)
-        });
-        ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
+        }))
     }
 
     /// What all would send a cell's writers if each state stayed in its cell, against what they can take.
@@ -682,8 +688,7 @@
             Some(from) => 1 + u32::from(from.listed.zone != to.listed.zone),
             None => 0,
         };
-        let alike =
-            (0..).zip(&self.counts).filter(|(_, count)| count.is_finite() && **count <= fewest + margin);
+        let alike = (0..).zip(&self.counts).filter(|(_, count)| within(**count, fewest + margin));
         let now = self.now;
         // The least of -ln(chance) / weight falls on each host in proportion to its weight.
         let ranked = alike.map(|(h, _): (u32, _)| {
@@ -709,7 +714,7 @@
         let (now, task, host) = (self.now, &self.tasks[t], &self.hosts[h as usize]);
         let by = task.due.min(task.stop).saturating_sub(now).as_secs_f64();
         let top = self.offerings.iter().max_by(|a, b| a.gain.total_cmp(&b.gain));
-        let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * task.rank);
+        let wait = top.map_or(f64::INFINITY, |top| 0.5 * top.agreed * self.offerings[task.offering].rank);
         // Old, bad readings cannot shut all for good: a trial, for one task in twelve and one at a time, else
         // hundreds of dispatchers' keep a jam; not for impatient clients, for whom it would end too late.
         let trial = self.unread >= 12
@@ -733,7 +738,7 @@
             let own = if thin { 0.0 } else { host.writing * self.dispatchers };
             (sum.0 + own.max(host.memory_held * memory(host)), sum.1 + memory(host))
         });
-        memory == 0.0 || held <= memory * (1.0 + 0.25 * self.tasks[t].rank)
+        memory == 0.0 || held <= memory * (1.0 + 0.25 * self.offerings[self.tasks[t].offering].rank)
     }
 
     /// A reader, or a mixed host for its share of tasks whole: those whose home it is, while its count is
@@ -744,12 +749,10 @@
         let reader = self.pick_reader(t);
         let whole = self.pick_writer(t, Part::Whole);
         let last = self.last_reader(t).filter(|h| self.hosts[*h as usize].listed.role == Role::Mixed);
-        // Where none may be sent to, all are without bound.
-        let near = |rules: &mut Self, h: u32| {
-            let most = rules.count(t, Part::Write) + rules.alike(t);
-            rules.counts[h as usize].is_finite() && rules.counts[h as usize] <= most
-        };
-        let home = last.filter(|h| near(self, *h));
+        let home = last.filter(|h| {
+            let most = self.count(t, Part::Write) + self.alike(t);
+            within(self.counts[*h as usize], most)
+        });
         // Not where readers are only late: hundreds of dispatchers would carry a jam of theirs over at once.
         let spare = whole.filter(|_| reader.is_none()).map(|h| (h, Part::Whole));
         let starts = [home.map(|h| (h, Part::Whole)), reader.map(|h| (h, Part::Read)), spare];
@@ -785,7 +788,7 @@
         if task.ended {
             // Its client has left: what still waits or is read for it delays others. Holds against clients
             // that leave before their time and ask again at once.
-            let waits = |shot: &Shot| shot.out && shot.started.is_none() && !shot.cancelled;
+            let waits = |shot: &Shot| shot.waits() && !shot.cancelled;
             task.want.cancel = task.shots.iter().position(waits).filter(|_| cancel);
             return;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,7 +166,6 @@
     pub(crate) turn: u32,
     pub(crate) order: Order,
     pub(crate) offering: usize,
-    pub(crate) rank: f64,
     /// Readers where its shared text is at home, the highest ranked first.
     pub(crate) homes: [u32; 8],
     /// Where its session is at home, where it is not known here.
@@ -239,6 +238,11 @@
     hosts
 }
 
+/// The host that comes first: of those in the preferred set, if any, the one of the highest rank.
+pub(crate) fn highest_of(ranked: impl Iterator<Item = (bool, f64, u32)>) -> Option<u32> {
+    ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(.., h)| h)
+}
+
 fn place_of(table: &mut Vec<Kept>, key: Key) -> &mut Kept {
     if table.len() <= key.place as usize {
         table.resize(key.place as usize + 1, Kept::default());
@@ -266,6 +270,13 @@
     kept.by[same.unwrap_or(oldest)] = (h, tokens, now);
 }
 
+impl Shot {
+    /// Out, and not begun to be answered.
+    pub(crate) fn waits(&self) -> bool {
+        self.out && self.started.is_none()
+    }
+}
+
 impl Host {
     pub(crate) fn runs(&self) -> bool {
         self.listed.standing == Standing::Running
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -380,14 +380,15 @@
         assert_eq!(sent(&desk.order(230, 2, 1, *prompt)) == Some(last), *stays, "{before:?}");
     }
     // A late report of tokens to read counts where it is larger than the own count.
-    let mut desk = Desk::new(&[], &[(READER, 0), (READER, 0), (WRITER, 0)]);
+    let patient = [("offerings.0.agreed_time_us", "4000000")];
+    let mut desk = Desk::new(&patient, &[(READER, 0), (READER, 0), (WRITER, 0)]);
     let mut load = Load { count: 1, ..Load::default() };
     load.values[0] = 30.0;
     desk.tell(1, Event::Probed { host: 0, answered: true, load: Some(load) });
     load.values[0] = 0.0;
     desk.tell(1, Event::Probed { host: 1, answered: true, load: Some(load) });
-    let sent_to: Vec<_> = (0..4).map(|i| sent(&desk.order(100 + u64::from(i) * 10, i, i, 2000))).collect();
-    assert_eq!(sent_to, [Some(1); 4]);
+    let sent_to: Vec<_> = (0..6).map(|i| sent(&desk.order(100 + u64::from(i) * 10, i, i, 2000))).collect();
+    assert_eq!(sent_to, [Some(1); 6]);
 }
 
 #[test]
