Hear a registry's return inside the grace; end connections behind answers at a stop

The nodes' logs: discovery silent from 6.5 s, each question waited for 1.5 s (n1: 9.87 to 11.37 s), the list of 10.80 s taken at 11.47 s. At fault: LATE and WAIT in crates/node/src/registry.rs. Probe lines on requests taken while stopping: n66 ended a stream (begun before SIGTERM) at 6.722 s and took the next call over the same connection at 6.725 s, between two looks for idle ones; 59 of 83 such tasks came over connections used before. At fault: keeps in Connection::answer, settled at the request and not at the answer's end. New connections are ruled out: theirs came within 0.45 s. Mended: patience with the registry by RegistryMode and the drain grace (asked-for lists as before); keeps looked at as the answer ends. Tests: both in tests/service.rs, red with stops() out, with 1.5 s for a question, with a 5 s watch; patience as a table.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -323,7 +323,7 @@
                         let idle = self.shared.room.idle(self.shared.clients.count());
                         self.client.link.read_by(Some(Instant::now() + idle));
                     }
-                    keeps
+                    keeps && !self.stops()
                 }
                 Message::Continue => self.client.write(b"HTTP/1.1 100 Continue\r\n\r\n").is_ok(),
                 Message::Refused(refusal) => {
@@ -354,11 +354,31 @@
         self.client.write(plain(status, why, keep_alive, come_back).as_bytes()).is_ok() && keep_alive
     }
 
+    /// Whether the connection stays open behind an answer that ends now: not once a stop has begun, however long before
+    /// that the answer did.
+    fn keeps(&self, head: &Head) -> bool {
+        head.keep_alive && !self.shared.draining.load(Ordering::Acquire)
+    }
+
+    /// Whether a stop has begun, so that the connection ends here. Holds against clients that ask again the moment a
+    /// long answer ends: the platform's kill would cut their answers off. What was read ahead meanwhile is told so.
+    fn stops(&mut self) -> bool {
+        if !self.shared.draining.load(Ordering::Acquire) {
+            return false;
+        }
+        let mut ahead = self.waiting.drain(..).chain(std::iter::from_fn(|| self.inbox.try_recv().ok()));
+        if ahead.any(|message| matches!(message, Message::Request(..))) {
+            drop(ahead);
+            self.say(503, "stopping: ask again", false, Some(Duration::from_millis(200)));
+        }
+        true
+    }
+
     /// Answers one request; whether the connection goes on.
     fn answer(&mut self, head: &Head, body: Vec<u8>) -> bool {
-        let keeps = head.keep_alive && !self.shared.draining.load(Ordering::Acquire);
+        let keeps = self.keeps(head);
         match (head.method.as_str(), head.path()) {
-            ("POST", call::PATH) => self.call(head, body, keeps),
+            ("POST", call::PATH) => self.call(head, body),
             ("GET", call::READY) => {
                 // A list that was known before does, where the registry is silent for long.
                 let listed = self.shared.listed.load(Ordering::Acquire);
@@ -374,7 +394,7 @@
         }
     }
 
-    fn call(&mut self, head: &Head, body: Vec<u8>, keeps: bool) -> bool {
+    fn call(&mut self, head: &Head, body: Vec<u8>) -> bool {
         let shared = self.shared.clone();
         let call = match call::read(head, &body, &shared.names) {
             Ok(call) => call,
@@ -387,14 +407,14 @@
         let in_hand = InHand { shared: &shared, id: call.id.clone() };
         if shared.in_hand.load(Ordering::SeqCst) > shared.room.tasks() {
             drop(in_hand);
-            return self.say(503, "too many requests", keeps, Some(Duration::from_millis(300)));
+            return self.say(503, "too many requests", self.keeps(head), Some(Duration::from_millis(300)));
         }
         let host = head.text("host").unwrap_or_default().to_owned();
         let task = Task::new((call.id, call.ask), head.target.clone(), host, body, self.sender.clone());
         let task = Arc::new(task);
         shared.unsettled.fetch_add(1, Ordering::SeqCst);
         shared.posts.post(Post::Arrive(task.clone()));
-        let waited = catch_unwind(AssertUnwindSafe(|| self.wait_for_answer(&task, keeps)));
+        let waited = catch_unwind(AssertUnwindSafe(|| self.wait_for_answer(&task, head)));
         let (answer, keeps) = waited.unwrap_or_else(|_| {
             // A stream that had begun ends without its last chunk, as does whatever else was under way.
             tracing::error!(id = task.id, "a panic while answering: the task is broken off");
@@ -410,20 +430,21 @@
     }
 
     /// The task's one final answer, by name, and whether the connection goes on.
-    fn wait_for_answer(&mut self, task: &Arc<Task>, keeps: bool) -> (&'static str, bool) {
+    fn wait_for_answer(&mut self, task: &Arc<Task>, head: &Head) -> (&'static str, bool) {
         loop {
             let Ok(message) = self.inbox.recv() else { return ("client left", false) };
             match message {
                 Message::Begun { id, begun } if Some(id) == task.place() => {
                     let (answer, whole) = relay::relay(&self.shared, &self.client, *begun);
-                    return (answer, whole && keeps);
+                    return (answer, whole && head.keep_alive);
                 }
                 Message::Bounced { id, come_back } if Some(id) == task.place() => {
                     let why = "no host can answer in time: ask again";
-                    return ("bounced", self.say(503, why, keeps, come_back));
+                    return ("bounced", self.say(503, why, self.keeps(head), come_back));
                 }
                 Message::BrokenOff { id } if Some(id) == task.place() => {
-                    return ("broken off", self.say(500, "broken off: it may have been run", keeps, None));
+                    let why = "broken off: it may have been run";
+                    return ("broken off", self.say(500, why, self.keeps(head), None));
                 }
                 Message::Left { .. } if task.close() => {
                     self.shared.posts.post(Post::Gone(task.clone()));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 use tulipstall_net::{Link, Listener};
 use tulipstall_platform::call::Names;
 use tulipstall_platform::kept::Kept;
+use tulipstall_platform::registry::Patience;
 use tulipstall_platform::room::Room;
 use tulipstall_platform::start::Start;
 
@@ -134,7 +135,7 @@
         if let Some(known) = &start.known {
             shared.hosts.apply(&shared, known, true);
         }
-        registry::start(shared.clone());
+        registry::start(shared.clone(), Patience::told(&start.terms));
         front::start(shared.clone(), listener.clone());
         let zone = start.terms.text("zone").unwrap_or_default();
         tracing::info!(name = start.name, %address, sockets = start.limits.sockets, zone, "runs");
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -7,26 +7,27 @@
 use std::time::{Duration, Instant};
 use tulipstall_http1::Limits;
 use tulipstall_net::{Fault, Link, Reply, spawn};
-use tulipstall_platform::registry::{LIST_BYTES, List, question, read};
-
-/// How long the registry may wait for news: a lost connection is found soon after.
-const WAIT: Duration = Duration::from_secs(5);
-/// How much later than that its answer may come, and one that need not wait.
-const LATE: Duration = Duration::from_millis(1500);
-/// Between two tries at a registry that is away: inside the 200 ms that a watch may pause.
-const PAUSE: Duration = Duration::from_millis(100);
+use tulipstall_platform::registry::{LIST_BYTES, List, Patience, question, read};
 
 const ANSWER: Limits = Limits { head: 8192, line: 4096, headers: 64, body: LIST_BYTES };
 
-pub fn start(shared: Arc<Shared>) {
+/// How long a list that has begun to come may take to come whole.
+const WHOLE: Duration = Duration::from_millis(1500);
+
+pub fn start(shared: Arc<Shared>, patience: Patience) {
     spawn(move || {
+        let mut tries = 0;
         loop {
             let address = lock(&shared.registry).0;
-            if let Err(fault) = follow(&shared, address) {
-                tracing::warn!(registry = %address, ?fault, "the registry does not answer");
+            if let Err(fault) = follow(&shared, address, &patience, &mut tries) {
+                // Many a second while it is away: one line.
+                if tries == 0 {
+                    tracing::warn!(registry = %address, ?fault, "the registry does not answer");
+                }
+                tries += 1;
             }
             if lock(&shared.registry).0 == address {
-                tulipstall_net::sleep(PAUSE);
+                tulipstall_net::sleep(patience.pause);
             }
         }
     });
@@ -43,12 +44,13 @@
     registry.0 = address;
 }
 
+/// Asks; an answer that has not begun within so long does not come.
 fn ask(link: &mut Option<Link>, question: &str, within: Duration) -> Result<List, Fault> {
     let (link_now, until) = (link.take().ok_or(Fault::Broken)?, Instant::now() + within);
     link_now.write(question.as_bytes(), until)?;
     let mut reply = Reply::new(link_now, ANSWER);
     let head = reply.head(until)?;
-    let body = reply.whole_body(until)?;
+    let body = reply.whole_body(Instant::now() + WHOLE)?;
     if head.status != 200 {
         return Err(Fault::Rubbish);
     }
@@ -62,13 +64,13 @@
     Ok(list)
 }
 
-/// Until something fails or the registry is elsewhere.
-fn follow(shared: &Shared, address: SocketAddr) -> Result<(), Fault> {
+/// Until something fails or the registry is elsewhere; `tries` failed before.
+fn follow(shared: &Shared, address: SocketAddr, patience: &Patience, tries: &mut u32) -> Result<(), Fault> {
     let mut link = None;
     let mut seen = None;
     loop {
         if link.is_none() {
-            let new = Link::connect(&address, shared.connect)?;
+            let new = Link::connect(&address, shared.connect.min(patience.at_once))?;
             let mut registry = lock(&shared.registry);
             if registry.0 != address {
                 return Ok(());
@@ -77,14 +79,17 @@
             link = Some(new);
         }
         let (newer_than, within) = match seen {
-            None => (None, LATE),
-            Some(seq) => (Some((seq, WAIT)), WAIT + LATE),
+            None => (None, patience.at_once),
+            Some(seq) => (Some((seq, patience.wait)), patience.wait + patience.late),
         };
         let list = match ask(&mut link, &question(address, newer_than), within) {
             Ok(list) => list,
             Err(_) if lock(&shared.registry).0 != address => return Ok(()),
             Err(fault) => return Err(fault),
         };
+        if std::mem::take(tries) > 0 {
+            tracing::info!(registry = %address, "the registry answers again");
+        }
         let whole = list.whole || seen.is_none();
         // Nothing new: the wait was over.
         if whole || !list.hosts.is_empty() {
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -157,6 +157,8 @@
 #[derive(Clone)]
 struct Registry {
     address: SocketAddr,
+    /// What is asked goes unanswered for ever, as does what waited for news.
+    down: Arc<AtomicBool>,
     state: Arc<(Mutex<Vec<String>>, Condvar)>,
 }
 
@@ -165,6 +167,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let registry = Registry {
             address: listener.local_addr().expect("an address"),
+            down: Arc::default(),
             state: Arc::new((
                 Mutex::new(vec![hosts.iter().map(|h| line(h, "active")).collect::<Vec<_>>().join(",")]),
                 Condvar::new(),
@@ -206,6 +209,9 @@
                         }
                     };
                     drop(versions);
+                    if self.down.load(Ordering::SeqCst) {
+                        continue;
+                    }
                     let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
                     if stream.write_all(text.as_bytes()).is_err() {
                         return;
@@ -581,6 +587,73 @@
     assert!(TcpStream::connect(address).is_err(), "new connections are refused");
 }
 
+/// Clients that ask again the moment a long answer ends are told of the stop by the end of their connection: what they
+/// ask then reaches no host, as the platform's kill would come into its answer.
+#[test]
+fn a_stop_ends_connections_behind_long_answers() {
+    let p = platform(256);
+    let address = p.node.address();
+    p.w1.does(&[Does::Pauses(900); 8]);
+    let (ready, clients) = (Arc::new(AtomicBool::new(false)), 0..8);
+    let asks: Vec<_> = clients
+        .map(|i| {
+            let ready = ready.clone();
+            thread::spawn(move || {
+                let mut stream = connect(address);
+                let _ = stream.write_all(call(&format!("first{i}"), "").as_bytes());
+                let (mut out, mut buffer) = (Vec::new(), [0; 4096]);
+                while !out.ends_with(b"0\r\n\r\n") {
+                    let got = stream.read(&mut buffer).unwrap_or(0);
+                    assert!(got > 0, "the answer under way is cut off: {}", String::from_utf8_lossy(&out));
+                    out.extend_from_slice(&buffer[..got]);
+                }
+                assert!(ready.load(Ordering::SeqCst), "the answer was over before the stop");
+                let _ = stream.write_all(call(&format!("second{i}"), "").as_bytes());
+                let mut rest = Vec::new();
+                let _ = stream.read_to_end(&mut rest);
+                String::from_utf8_lossy(&rest).into_owned()
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    ready.store(true, Ordering::SeqCst);
+    p.node.stop();
+    for ask in asks {
+        // At most a bounce, where it was read before the connection was closed.
+        let rest = ask.join().expect("whole answers");
+        assert!(rest.is_empty() || rest.starts_with("HTTP/1.1 503"), "{rest}");
+    }
+    let calls = [&p.r1, &p.w1, &p.w2].map(Host::calls).concat();
+    assert_eq!(calls.iter().filter(|(_, id, _)| id.starts_with("first")).count() % 8, 0, "{calls:?}");
+    assert!(calls.iter().all(|(_, id, _)| !id.starts_with("second")), "{calls:?}");
+}
+
+/// A registry falls silent and comes back with a host that drains: the host gets nothing once the grace is over, by
+/// which time what the registry has counts as told.
+#[test]
+fn a_registry_that_comes_back_is_heard_inside_the_grace() {
+    let p = platform(256);
+    let address = p.node.address();
+    p.registry.down.store(true, Ordering::SeqCst);
+    // Silent for longer than an open watch may be.
+    thread::sleep(Duration::from_millis(2300));
+    p.registry.state.0.lock().expect("no panic")[0] =
+        [line(&p.r1, "active"), line(&p.w1, "leaving"), line(&p.w2, "active")].join(",");
+    let back = Instant::now();
+    p.registry.down.store(false, Ordering::SeqCst);
+    for i in 0.. {
+        let id = format!("back{i:03}");
+        assert!(whole(&ask(address, &call(&id, "Connection: close\r\n")), &id));
+        if back.elapsed() > Duration::from_millis(2000) {
+            break;
+        }
+    }
+    let late = |(.., at): &(String, String, Instant)| *at > back + Duration::from_millis(250);
+    let late = p.w1.calls().iter().filter(|call| late(call)).count();
+    assert_eq!(late, 0, "calls after the grace");
+    assert!(!p.w2.calls().is_empty());
+}
+
 /// A zone is cut off while many tasks hold states there: whoever of the other zone can be reached is told in time, and
 /// not one host by all.
 #[test]
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tulipstall::interface::Standing;
+use tulipstall::interface::{Standing, Terms};
 use tulipstall_core::Row;
 
 /// Where the list is asked for.
@@ -12,6 +12,35 @@
 /// A list of a few thousand hosts fits many times over.
 pub const LIST_BYTES: usize = 4 << 20;
 
+/// How long the registry is waited for before it is taken for silent and asked anew.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Patience {
+    /// How long it may wait for news.
+    pub wait: Duration,
+    /// How much later than that its answer may begin.
+    pub late: Duration,
+    /// When the answer to a question that need not wait has to begin.
+    pub at_once: Duration,
+    /// Between two tries: inside the 200 ms that a watch may pause.
+    pub pause: Duration,
+}
+
+impl Patience {
+    /// Where lists are pushed, an agent on the own machine answers at once and at no cost, or is silent until the
+    /// registry is back; what it has then counts as told at once. So it is asked anew well inside the time in which a
+    /// draining host may still be sent to. Where lists are asked for, each call is dear and may take long.
+    pub fn told(terms: &Terms) -> Patience {
+        let ms = Duration::from_millis;
+        if terms.text("registry_mode") == Some("on_request") {
+            return Patience { wait: ms(5000), late: ms(1500), at_once: ms(1500), pause: ms(100) };
+        }
+        // Two fifths and a fifth: the rest is for a busy dispatcher to read the list. No less than round trips take.
+        let grace = terms.span("rules.drain_grace_us").unwrap_or(ms(250));
+        let at_once = (grace * 2 / 5).clamp(ms(20), ms(400));
+        Patience { wait: ms(1000), late: ms(500), at_once, pause: (grace / 5).clamp(ms(10), ms(100)) }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct List {
     pub seq: u64,
@@ -90,3 +119,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tulipstall::interface::Term;
+
+    /// What is asked just before the registry is back goes unanswered: the next try comes inside the grace.
+    #[test]
+    fn a_silent_agent_is_asked_anew_inside_the_grace_and_a_dear_registry_is_not_pressed() {
+        for (mode, grace_us, pressed) in [
+            (None, None, true),
+            (Some("pushed"), Some(100_000.0), true),
+            (Some("pushed"), Some(250_000.0), true),
+            (Some("pushed"), Some(1_000_000.0), true),
+            (Some("pushed"), Some(0.0), false),
+            (Some("on_request"), Some(250_000.0), false),
+        ] {
+            let mut terms = Terms::default();
+            mode.map(|mode| terms.0.insert("registry_mode".into(), Term::Text(mode.into())));
+            grace_us.map(|us| terms.0.insert("rules.drain_grace_us".into(), Term::Number(us)));
+            let told = Patience::told(&terms);
+            let grace = Duration::from_micros(grace_us.unwrap_or(250_000.0) as u64);
+            assert_eq!(
+                (told.at_once + told.pause) * 10 <= grace * 7,
+                pressed,
+                "{mode:?} {grace_us:?}: {told:?}"
+            );
+            assert!(told.at_once >= Duration::from_millis(20) && !told.pause.is_zero());
+            // What an open watch misses counts 6 s after it fell silent, or 2 s after its wait.
+            assert!(told.pause < Duration::from_millis(200) && told.late < Duration::from_secs(2));
+            assert!(told.wait + told.late + told.pause < Duration::from_secs(7));
+        }
+    }
+}
