Ask no host for its load ahead, rank by gain alone: what only retired fleets needed

Probes are forbidden in both deployments that stay and absent from the platform's protocol (crates/node dropped the order); the worst-served offering's weight ranks nothing where there is one offering. What carried probes goes too: Action::Probe, the core's input and output, the messages front's call, allowed.probes.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -196,10 +196,6 @@
                 Some(t) => writeln!(reply, "RELOCATE {me} {t}"),
                 None => Ok(()),
             },
-            Action::Probe { host: h } => match host(h) {
-                Some(h) => writeln!(reply, "INSPECT {me} {h}"),
-                None => Ok(()),
-            },
             Action::Timer { at, token } => writeln!(reply, "REMIND {me} {} {token}", clock(at)),
             Action::AskList => writeln!(reply, "TAIL {me} 1"),
             Action::Note { host: h, what } => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -98,10 +98,6 @@
         outcome: Outcome,
         end: End,
     },
-    Probed {
-        host: u32,
-        load: Option<Load>,
-    },
     /// The client left, or its task was broken off from outside: nothing more is owed.
     Gone {
         task: TaskId,
@@ -144,9 +140,6 @@
     BreakOff {
         task: TaskId,
     },
-    Probe {
-        host: u32,
-    },
     Note {
         host: u32,
         what: &'static str,
@@ -455,9 +448,6 @@
         match input {
             Input::Tick => {}
             Input::Listed { whole, rows } => self.listed(now, whole, rows, out),
-            Input::Probed { host, load } => {
-                self.tell(now, Event::Probed { host, answered: load.is_some(), load }, out);
-            }
             Input::Gone { task } => {
                 let Some(life) = self.life(task).filter(|life| !life.ended) else { return };
                 life.ended = true;
@@ -692,7 +682,6 @@
                 }
             }
             Action::Timer { at, token } => self.timers.push(Reverse((at, token))),
-            Action::Probe { host } => out.push(Output::Probe { host }),
             Action::Note { host, what } => out.push(Output::Note { host, what }),
             Action::Forget { task: place } => {
                 let task = id(&self.lives, place);
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -240,13 +240,6 @@
                     let _ = held.task.inbox.send(Message::BrokenOff { ticket: held.task.ticket });
                 }
             }
-            Output::Probe { host } => {
-                let Some(way) = self.way(host) else { return };
-                spawn(move || {
-                    let load = shot::probe(&shared, &way);
-                    shared.posts.post(Post::Told(Input::Probed { host, load }));
-                });
-            }
             Output::Note { host, what } => {
                 let name = self.core.host_name(host).unwrap_or("a host");
                 shared.metrics.notes.with_label_values(&[name, what]).inc();
--- a/crates/dispatcher/src/shot.rs
+++ b/crates/dispatcher/src/shot.rs
@@ -258,10 +258,3 @@
     }
     tracing::warn!(host = way.name, state, "a state could not be let go of");
 }
-
-/// Asks a host for its load.
-pub fn probe(shared: &Shared, way: &Way) -> Option<Load> {
-    let request = format!("GET {} HTTP/1.1\r\nhost: {}\r\n\r\n", engine::LOAD, way.name);
-    let head = ask(shared, way, &request, Duration::from_millis(100))?;
-    engine::load(&head.headers, &shared.load_names)
-}
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -168,8 +168,7 @@
                     let _ = held.task.inbox.send(Message::BrokenOff { id: task });
                 }
             }
-            // The platform allows none where this runs.
-            Output::Probe { .. } | Output::Ran { .. } => {}
+            Output::Ran { .. } => {}
             Output::Note { host, what } => {
                 tracing::info!(host = self.core.host_name(host).unwrap_or("a host"), "{what}");
             }
--- a/crates/platform/src/terms.rs
+++ b/crates/platform/src/terms.rs
@@ -58,7 +58,6 @@
         "MaxAttempts" => "max_shots",
         "MaxRetryAfterUs" => "max_come_back_us",
         "RetryAfter" => "come_back",
-        "MayProbe" => "probes",
         "StopSendingWithinUs" => "drain_grace_us",
         "OverloadFactor" => "fall_multiple",
         _ => return snake(wire),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -192,8 +192,6 @@
     pub max_shots: u32,
     /// Shots may be called off.
     pub cancel: bool,
-    /// Hosts may be asked for their load.
-    pub probes: bool,
     /// A bounce says when to come back, …
     pub come_back: bool,
     /// … after this long at most.
@@ -204,14 +202,7 @@
 
 impl Default for Allowed {
     fn default() -> Self {
-        Allowed {
-            max_shots: 6,
-            cancel: true,
-            probes: false,
-            come_back: true,
-            max_come_back_ms: 1000,
-            writers_read: false,
-        }
+        Allowed { max_shots: 6, cancel: true, come_back: true, max_come_back_ms: 1000, writers_read: false }
     }
 }
 
@@ -459,7 +450,6 @@
         put("service.writers_read".into(), Term::Flag(self.allowed.writers_read));
         put("allowed.max_shots".into(), Term::Number(f64::from(self.allowed.max_shots)));
         put("allowed.cancel".into(), Term::Flag(self.allowed.cancel));
-        put("allowed.probes".into(), Term::Flag(self.allowed.probes));
         put("allowed.come_back".into(), Term::Flag(self.allowed.come_back));
         put("allowed.max_come_back_us".into(), ms(self.allowed.max_come_back_ms as f64));
         terms
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -246,9 +246,6 @@
     Move {
         task: u32,
     },
-    Probe {
-        host: u32,
-    },
     Timer {
         at: Duration,
         token: u64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,14 +44,9 @@
         let dispatchers = terms.number("dispatchers").unwrap_or(1.0).max(1.0);
         let offerings = (0..terms.entries("offerings").max(1)).map(|i| Self::offering(terms, i));
         let mut offerings: Vec<Offering> = offerings.collect();
-        // What brings less comes after what brings most, the less so the more the worst-served one weighs.
-        let weight = |part: &str| terms.number(part).unwrap_or(0.0).clamp(0.0, 1e6);
-        let (whole, worst) = (weight("score_parts.whole"), weight("score_parts.worst_class"));
+        // What brings less comes after what brings most.
         let most = offerings.iter().map(|offering| offering.gain).fold(0.001, f64::max);
-        for offering in &mut offerings {
-            let rank = offering.gain / most;
-            offering.rank = rank + (1.0 - rank) * worst / (worst + whole).max(1e-6);
-        }
+        offerings.iter_mut().for_each(|offering| offering.rank = offering.gain / most);
         Rules {
             chance: Chance(seed ^ 0x9e37_79b9_7f4a_7c15).mixed(),
             offerings,
@@ -763,24 +758,6 @@
         pick
     }
 
-    /// Where probes are allowed and reports old, as with hundreds of dispatchers, two homes are asked for
-    /// their load before the reader is picked; the answers count like any report.
-    fn ask_ahead(&mut self, t: usize) -> bool {
-        let last = self.last_reader(t);
-        let other = self.tasks[t].homes.iter().copied().find(|h| *h != u32::MAX && Some(*h) != last);
-        let old = |h: &u32| {
-            let (host, half) = (&self.hosts[*h as usize], Duration::from_millis(500));
-            host.runs() && host.to_read.is_none_or(|(at, _)| self.now > at + half)
-        };
-        let ask = [last.filter(old), other.filter(old)];
-        // Ten milliseconds: there and back, and a tick.
-        let wake = (ask != [None, None]).then_some(self.now + Duration::from_millis(10));
-        let task = &mut self.tasks[t];
-        task.asked = true;
-        (task.want.ask, task.want.wake, task.want.keep) = (ask, wake, true);
-        wake.is_some()
-    }
-
     fn plan(&mut self, t: usize) {
         let (now, cancel) = (self.now, self.terms.flag("allowed.cancel"));
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
@@ -795,7 +772,7 @@
         if let Some(i) = task.shots.iter().position(|shot| shot.out) {
             return self.watch(t, i);
         }
-        let (held, first, asked, stop) = (task.held_by, task.shots.is_empty(), task.asked, task.stop);
+        let (held, first, stop) = (task.held_by, task.shots.is_empty(), task.stop);
         let agreed = (task.due - task.arrived).as_secs_f64();
         let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
         let told = &self.offerings[task.offering];
@@ -804,9 +781,6 @@
         if late || barred || task.shots.len() >= most || (first && !self.room(t)) {
             return self.give_up(t);
         }
-        if first && !asked && self.terms.flag("allowed.probes") && self.ask_ahead(t) {
-            return;
-        }
         let pick = match held {
             Some(_) => self.pick_writer(t, Part::Write).map(|h| (h, Part::Write)),
             None => self.pick_start(t),
@@ -886,9 +860,6 @@
             let bounced = Action::Bounce { task: number, come_back };
             out.push(if bounce { bounced } else { Action::BreakOff { task: number } });
         }
-        out.extend(
-            std::mem::take(&mut task.want.ask).into_iter().flatten().map(|host| Action::Probe { host }),
-        );
         if let Some(i) = task.want.cancel {
             task.shots[i].cancelled = true;
             out.push(Action::Cancel { task: number, shot: i as u32 });
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,7 +154,6 @@
 pub(crate) struct Wanted {
     pub(crate) shot: Option<(u32, Part, Duration)>,
     pub(crate) cancel: Option<usize>,
-    pub(crate) ask: [Option<u32>; 2],
     pub(crate) answer: Option<bool>,
     pub(crate) keep: bool,
     pub(crate) wake: Option<Duration>,
@@ -181,7 +180,6 @@
     pub(crate) told: Option<Vec<(u32, u32)>>,
     pub(crate) patience: Duration,
     pub(crate) ended: bool,
-    pub(crate) asked: bool,
     pub(crate) held_by: Option<u32>,
     /// How long it may be without a shot: for a start, or to take the state held.
     pub(crate) wait_until: Duration,
