Test that calls read ahead of a stop are bounced; say the registry's silence as a flag

Found reading the change once more: the bounce of what was read ahead had no test of its own (red with the guard out now), tries were counted and only their being any was used, a queue was drained in a roundabout way. Behaviour as before.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -366,9 +366,8 @@
         if !self.shared.draining.load(Ordering::Acquire) {
             return false;
         }
-        let mut ahead = self.waiting.drain(..).chain(std::iter::from_fn(|| self.inbox.try_recv().ok()));
+        let mut ahead = std::mem::take(&mut self.waiting).into_iter().chain(self.inbox.try_iter());
         if ahead.any(|message| matches!(message, Message::Request(..))) {
-            drop(ahead);
             self.say(503, "stopping: ask again", false, Some(Duration::from_millis(200)));
         }
         true
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -16,15 +16,14 @@
 
 pub fn start(shared: Arc<Shared>, patience: Patience) {
     spawn(move || {
-        let mut tries = 0;
+        let mut silent = false;
         loop {
             let address = lock(&shared.registry).0;
-            if let Err(fault) = follow(&shared, address, &patience, &mut tries) {
+            if let Err(fault) = follow(&shared, address, &patience, &mut silent) {
                 // Many a second while it is away: one line.
-                if tries == 0 {
+                if !std::mem::replace(&mut silent, true) {
                     tracing::warn!(registry = %address, ?fault, "the registry does not answer");
                 }
-                tries += 1;
             }
             if lock(&shared.registry).0 == address {
                 tulipstall_net::sleep(patience.pause);
@@ -64,8 +63,8 @@
     Ok(list)
 }
 
-/// Until something fails or the registry is elsewhere; `tries` failed before.
-fn follow(shared: &Shared, address: SocketAddr, patience: &Patience, tries: &mut u32) -> Result<(), Fault> {
+/// Until something fails or the registry is elsewhere; `silent` if the last try failed.
+fn follow(shared: &Shared, address: SocketAddr, patience: &Patience, silent: &mut bool) -> Result<(), Fault> {
     let mut link = None;
     let mut seen = None;
     loop {
@@ -87,7 +86,7 @@
             Err(_) if lock(&shared.registry).0 != address => return Ok(()),
             Err(fault) => return Err(fault),
         };
-        if std::mem::take(tries) > 0 {
+        if std::mem::take(silent) {
             tracing::info!(registry = %address, "the registry answers again");
         }
         let whole = list.whole || seen.is_none();
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -629,6 +629,24 @@
     assert!(calls.iter().all(|(_, id, _)| !id.starts_with("second")), "{calls:?}");
 }
 
+/// A call that was read ahead of its turn when a stop ends its connection is answered all the same, and reaches no host.
+#[test]
+fn what_was_read_ahead_of_a_stop_is_bounced() {
+    let p = platform(256);
+    let address = p.node.address();
+    p.w1.does(&[Does::Pauses(900)]);
+    let both = [call("under_way", ""), call("ahead", "")].concat();
+    let asks = thread::spawn(move || ask(address, &both));
+    thread::sleep(Duration::from_millis(300));
+    p.node.stop();
+    let answer = asks.join().expect("no panic");
+    let (first, second) = answer.split_once("0\r\n\r\n").expect("a whole stream");
+    assert!(first.starts_with("HTTP/1.1 200") && first.contains("under_way"), "{answer}");
+    assert!(second.starts_with("HTTP/1.1 503") && second.contains("Retry-After"), "{answer}");
+    let calls = [&p.r1, &p.w1, &p.w2].map(Host::calls).concat();
+    assert!(calls.iter().all(|(_, id, _)| id != "ahead"), "{calls:?}");
+}
+
 /// A registry falls silent and comes back with a host that drains: the host gets nothing once the grace is over, by
 /// which time what the registry has counts as told.
 #[test]
