Refresh the list before news counts as told, whatever one or two calls of the registry fail

Seen: with lists asked for, a watch that falls silent is given up after 6.5 s, its successor asks 0.1 s later and a question may take 1.5 s to begin and 1.5 s to come whole: a drain is heard 6.6 to 9.6 s after the registry had it, and counts as told after 6 s (tests on sockets: 7.5 s and still not heard after two silent calls). An answer older than one before opened hosts again that had been told to drain. Lines at fault: Patience::told (wait, late, at_once), WHOLE and the separate times for connecting and asking in follow. Ruled out: the pause, the connect time-out, parsing. Change: watches of 2.5 s where lists are asked for, 0.7 s for a question with its connection, 0.5 s for a list to come whole; the chains are added up in a test against the 6 s and the grace. Calls at rest: 0.4 a second for each dispatcher where they are dear (140 a second for 350), 1 a second where the agent is on the own machine. Of older answers only what closes hosts is taken, until they have gone on for 0.8 s, as a registry that began anew would.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -5,28 +5,37 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use tulipstall::interface::Standing;
 use tulipstall_http1::Limits;
 use tulipstall_net::{Fault, Link, Reply, spawn};
-use tulipstall_platform::registry::{LIST_BYTES, List, Patience, question, read};
+use tulipstall_platform::registry::{LIST_BYTES, Line, List, Patience, Versions, question, read};
 
 const ANSWER: Limits = Limits { head: 8192, line: 4096, headers: 64, body: LIST_BYTES };
 
-/// How long a list that has begun to come may take to come whole.
-const WHOLE: Duration = Duration::from_millis(1500);
+/// What outlives one connection.
+#[derive(Default)]
+struct Seen {
+    /// The last try failed.
+    silent: bool,
+    versions: Versions,
+}
 
 pub fn start(shared: Arc<Shared>, patience: Patience) {
     spawn(move || {
-        let mut silent = false;
+        let mut known = Seen::default();
         loop {
             let address = lock(&shared.registry).0;
-            if let Err(fault) = follow(&shared, address, &patience, &mut silent) {
+            if let Err(fault) = follow(&shared, address, &patience, &mut known) {
                 // Many a second while it is away: one line.
-                if !std::mem::replace(&mut silent, true) {
+                if !std::mem::replace(&mut known.silent, true) {
                     tracing::warn!(registry = %address, ?fault, "the registry does not answer");
                 }
             }
             if lock(&shared.registry).0 == address {
                 tulipstall_net::sleep(patience.pause);
+            } else {
+                // Another registry counts by itself.
+                known.versions = Versions::default();
             }
         }
     });
@@ -44,12 +53,12 @@
 }
 
 /// Asks; an answer that has not begun within so long does not come.
-fn ask(link: &mut Option<Link>, question: &str, within: Duration) -> Result<List, Fault> {
+fn ask(link: &mut Option<Link>, question: &str, within: Duration, whole: Duration) -> Result<List, Fault> {
     let (link_now, until) = (link.take().ok_or(Fault::Broken)?, Instant::now() + within);
     link_now.write(question.as_bytes(), until)?;
     let mut reply = Reply::new(link_now, ANSWER);
-    let head = reply.head(until)?;
-    let body = reply.whole_body(Instant::now() + WHOLE)?;
+    let head = reply.head_begun(until, whole)?;
+    let body = reply.whole_body(Instant::now() + whole)?;
     if head.status != 200 {
         return Err(Fault::Rubbish);
     }
@@ -63,10 +72,11 @@
     Ok(list)
 }
 
-/// Until something fails or the registry is elsewhere; `silent` if the last try failed.
-fn follow(shared: &Shared, address: SocketAddr, patience: &Patience, silent: &mut bool) -> Result<(), Fault> {
+/// Until something fails or the registry is elsewhere.
+fn follow(shared: &Shared, address: SocketAddr, patience: &Patience, known: &mut Seen) -> Result<(), Fault> {
     let mut link = None;
     let mut seen = None;
+    let first = Instant::now() + patience.at_once;
     loop {
         if link.is_none() {
             let new = Link::connect(&address, shared.connect.min(patience.at_once))?;
@@ -78,15 +88,26 @@
             link = Some(new);
         }
         let (newer_than, within) = match seen {
-            None => (None, patience.at_once),
+            None => (None, first.saturating_duration_since(Instant::now())),
             Some(seq) => (Some((seq, patience.wait)), patience.wait + patience.late),
         };
-        let list = match ask(&mut link, &question(address, newer_than), within) {
+        let list = match ask(&mut link, &question(address, newer_than), within, patience.whole) {
             Ok(list) => list,
             Err(_) if lock(&shared.registry).0 != address => return Ok(()),
             Err(fault) => return Err(fault),
         };
-        if std::mem::take(silent) {
+        if !known.versions.takes(shared.now(), list.seq) {
+            tracing::warn!(seq = list.seq, "a list older than one before only closes hosts");
+            let closed = |line: &Line| line.standing() != Standing::Running;
+            let hosts = list.hosts.into_iter().filter(closed).collect();
+            shared.hosts.apply(shared, &List { hosts, ..list }, false);
+            return Err(Fault::Rubbish);
+        }
+        if seen.is_some_and(|seen| list.seq < seen) && !list.whole {
+            // Begun anew: what changed since says nothing to what was before.
+            return Err(Fault::Rubbish);
+        }
+        if std::mem::take(&mut known.silent) {
             tracing::info!(registry = %address, "the registry answers again");
         }
         let whole = list.whole || seen.is_none();
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -19,12 +19,22 @@
     pub wait: Duration,
     /// How much later than that its answer may begin.
     pub late: Duration,
-    /// When the answer to a question that need not wait has to begin.
+    /// When the answer to a question that need not wait has to begin, the time to connect included.
     pub at_once: Duration,
+    /// How long an answer that has begun may take to come whole: agents write it at once.
+    pub whole: Duration,
     /// Between two tries: inside the 200 ms that a watch may pause.
     pub pause: Duration,
 }
 
+/// How long what is newer than the last good answer may go unheard while the registry can be reached: the platform
+/// counts it as told then.
+pub const TOLD: Duration = Duration::from_secs(6);
+
+/// For how long answers older than one seen before are not taken: they come from a registry that lags behind, or from
+/// one that has begun anew, and only the second goes on so. Half of what is left beside a watch and a question.
+pub const OLDER: Duration = Duration::from_millis(800);
+
 impl Patience {
     /// Where lists are pushed, an agent on the own machine answers at once and at no cost, or is silent until the
     /// registry is back; what it has then counts as told at once. So it is asked anew well inside the time in which a
@@ -32,12 +42,40 @@
     pub fn told(terms: &Terms) -> Patience {
         let ms = Duration::from_millis;
         if terms.text("registry_mode") == Some("on_request") {
-            return Patience { wait: ms(5000), late: ms(1500), at_once: ms(1500), pause: ms(100) };
+            // A watch that falls silent at once and a question that fails leave time for a second question.
+            return Patience {
+                wait: ms(2500),
+                late: ms(700),
+                at_once: ms(700),
+                whole: ms(500),
+                pause: ms(100),
+            };
         }
         // Two fifths and a fifth: the rest is for a busy dispatcher to read the list. No less than round trips take.
         let grace = terms.span("rules.drain_grace_us").unwrap_or(ms(250));
         let at_once = (grace * 2 / 5).clamp(ms(20), ms(400));
-        Patience { wait: ms(1000), late: ms(500), at_once, pause: (grace / 5).clamp(ms(10), ms(100)) }
+        let pause = (grace / 5).clamp(ms(10), ms(100));
+        Patience { wait: ms(1000), late: ms(500), at_once, whole: ms(500), pause }
+    }
+}
+
+/// What is known of the registry's versions.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Versions {
+    newest: u64,
+    /// Since when only older ones came.
+    older_since: Option<Duration>,
+}
+
+impl Versions {
+    /// Whether an answer of this version is taken now.
+    pub fn takes(&mut self, now: Duration, seq: u64) -> bool {
+        let since = *self.older_since.get_or_insert(now);
+        let taken = seq >= self.newest || now >= since + OLDER;
+        if taken {
+            *self = Versions { newest: seq, older_since: None };
+        }
+        taken
     }
 }
 
@@ -152,4 +190,48 @@
             assert!(told.wait + told.late + told.pause < Duration::from_secs(7));
         }
     }
+
+    /// From a good answer on, whatever goes wrong once with each of a watch, its successor and the question after it:
+    /// the list is refreshed before what is newer counts as told, with the grace to spare.
+    #[test]
+    fn no_chain_of_calls_outlasts_what_counts_as_told() {
+        let ms = Duration::from_millis;
+        for (mode, grace_us) in
+            [("pushed", 50_000.0), ("pushed", 250_000.0), ("pushed", 2e6), ("on_request", 250_000.0)]
+        {
+            let mut terms = Terms::default();
+            terms.0.insert("registry_mode".into(), Term::Text(mode.into()));
+            terms.0.insert("rules.drain_grace_us".into(), Term::Number(grace_us));
+            let told = Patience::told(&terms);
+            let question = told.pause + told.at_once;
+            let silent = told.wait + told.late;
+            for (name, chain) in [
+                ("a silent watch, a silent question, a good one", silent + 2 * question + told.whole),
+                ("a watch that trickles, a good question", silent + told.whole + question + told.whole),
+                ("a silent watch, then a registry that begins anew", silent + question + OLDER + question),
+            ] {
+                assert!(chain < TOLD - ms(250), "{mode} {grace_us}: {name}: {chain:?}");
+            }
+            // Where calls are dear: 350 dispatchers ask less than 200 times a second while nothing happens.
+            assert!(350.0 / told.wait.as_secs_f64() < 400.0);
+        }
+    }
+
+    #[test]
+    fn older_versions_are_not_taken_unless_they_go_on() {
+        let ms = Duration::from_millis;
+        for (name, answers) in [
+            ("in order", vec![(0, 3, true), (100, 3, true), (200, 5, true)]),
+            ("one that lags behind", vec![(0, 9, true), (100, 7, false), (200, 9, true), (2000, 8, false)]),
+            (
+                "begun anew",
+                vec![(0, 9, true), (100, 1, false), (500, 1, false), (1000, 2, true), (1100, 2, true)],
+            ),
+        ] {
+            let mut versions = Versions::default();
+            for (at, seq, taken) in answers {
+                assert_eq!(versions.takes(ms(at), seq), taken, "{name}: {seq} at {at} ms");
+            }
+        }
+    }
 }
