Begin nothing for clients that left, past a window or over a connection that was ended

Seen, on sockets with the fault injected (crates/node/tests/acceptance.rs, red before): - junk or half a request behind a good one, then a close: further attempts began up to seconds after. Lines: read() in front.rs ended at what it could not read, so that nobody saw the close; PIPELINED held the reader back behind the third request of those that send much at once and go. - at a loaded core a connection that came up late was written to before the close was read (shot.rs, shoot). - a keyed class's window ended while a connection came up, and the attempt was sent all the same: the window was looked at when the shot was decided (rules.rs, again), never again. - bytes that had come were read after the connection was shut (net, read_until looked only after a wait), a request read in that moment was not told apart from an idle connection (front.rs, close_idle and busy). - an answer's rest at the socket was thrown away by a close over unread bytes, 8 ms after it was written. Ruled out: calling off (Out::cancel) and the owner's order of posts, which held in all of these. Change: the reader goes on to the end behind what it can't read, up to 1 MB and 2 s; each shot looks at the client's connection right before its first byte; a send carries the moment by which it has to begin; what comes to a link that is shut is nobody's; of a request and an end as idle that cross one holds; the last answer's connection is finished, left unread and closed 100 ms later. A dropped node listens no more. Tried and undone: reading on to the end behind the last answer.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -171,7 +171,7 @@
         let clock = |at: Duration| self.origin + at.as_micros() as u64;
         // Writing to a string cannot fail.
         let _ = match *action {
-            Action::Send { task: t, host: h, until } => match (task(t), host(h)) {
+            Action::Send { task: t, host: h, until, .. } => match (task(t), host(h)) {
                 (Some(t), Some(h)) => writeln!(reply, "SUBMIT_TO {me} {t} {} {h}", clock(until)),
                 _ => Ok(()),
             },
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -122,6 +122,8 @@
         host: u32,
         errand: Errand,
         until: Duration,
+        /// When its first byte goes out at the latest.
+        begin_by: Duration,
         held: Option<Held>,
     },
     Cancel {
@@ -642,7 +644,7 @@
             TaskId { place, turn }
         };
         match action {
-            Action::Send { task: place, host, until } => {
+            Action::Send { task: place, host, until, begin_by } => {
                 let task = id(&self.lives, place);
                 let role = self.roles.get(host as usize).copied().unwrap_or_default();
                 let Some(life) = self.life(task) else { return };
@@ -658,7 +660,8 @@
                 life.whole = if errand == Errand::Whole { Some(shot) } else { life.whole };
                 self.counts.shots += 1;
                 self.overdue.push(Reverse((until + OVERDUE, place, task.turn, shot)));
-                out.push(Output::Send { task, shot, host, errand, until: until.max(now), held });
+                let until = until.max(now);
+                out.push(Output::Send { task, shot, host, errand, until, begin_by, held });
             }
             Action::Cancel { task, shot } => out.push(Output::Cancel { task: id(&self.lives, task), shot }),
             Action::Release { task } => {
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -206,7 +206,7 @@
     fn carry_out(&mut self, output: Output) {
         let shared = self.shared.clone();
         match output {
-            Output::Send { task, shot, host, errand, until, held } => {
+            Output::Send { task, shot, host, errand, until, begin_by, held } => {
                 let way = self.way(host);
                 let from = held.as_ref().and_then(|held| self.way(held.host));
                 let Some(in_hand) = self.held(task) else { return };
@@ -214,8 +214,9 @@
                 in_hand.shots.push(out.clone());
                 let state = held.zip(from);
                 let about = in_hand.task.clone();
-                let until = shared.start + until;
-                let shot = shot::Shot { shared, id: task, task: about, number: shot, host, out, until };
+                let (until, begin_by) = (shared.start + until, shared.start + begin_by);
+                let shot =
+                    shot::Shot { shared, id: task, task: about, number: shot, host, out, until, begin_by };
                 spawn(move || shot.run(way, errand, state));
             }
             Output::Cancel { task, shot } => {
--- a/crates/dispatcher/src/shot.rs
+++ b/crates/dispatcher/src/shot.rs
@@ -27,6 +27,7 @@
     pub host: u32,
     pub out: Arc<Out>,
     pub until: Instant,
+    pub begin_by: Instant,
 }
 
 /// A stream whose first piece has come, handed to the client's coroutine with all that it needs to end it.
@@ -121,10 +122,11 @@
         // Told to drain or gone since it was decided, or called off: provably never sent.
         let may = |()| (way.open() && !self.out.cancelled()).then_some(()).ok_or(Outcome::Moot);
         may(())?;
-        if left(self.until).is_zero() {
+        let begin_by = self.until.min(self.begin_by);
+        if left(begin_by).is_zero() {
             return Err(Outcome::Moot);
         }
-        let link = way.pool.take(connect.min(left(self.until))).map_err(|_| Outcome::NoConnection)?;
+        let link = way.pool.take(connect.min(left(begin_by))).map_err(|_| Outcome::NoConnection)?;
         self.out.hold(&link);
         may(())?;
         let state = state.map(|(held, from)| State {
@@ -142,7 +144,10 @@
         let request =
             engine::request(&way.name, &self.shared.settings.name, &self.task.name, &self.task.prompt, &body);
         may(())?;
-        link.write(&request, self.until).map_err(|fault| match fault {
+        if left(begin_by).is_zero() {
+            return Err(Outcome::Moot);
+        }
+        link.write(&request, begin_by).map_err(|fault| match fault {
             Fault::NoConnection => Outcome::NoConnection,
             Fault::TimedOut => Outcome::TimedOut,
             _ => Outcome::Broken,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -205,6 +205,29 @@
     fn is_shut(&self) -> bool {
         self.shut.load(Ordering::Acquire)
     }
+
+    /// Whether one of its moments is past.
+    fn is_due(&self, now: u64) -> bool {
+        self.read_by.load(Ordering::SeqCst).min(self.write_by.load(Ordering::SeqCst)) <= now
+    }
+
+    /// Shuts it once a moment is past, unless whoever waited goes on meanwhile: one of the two sees the other, as each
+    /// writes before it looks. Holds against bytes that come in that very moment and are read, though nobody can be
+    /// answered any more.
+    fn shut_if_due(&self, now: u64) {
+        if self.is_due(now) && !self.late.swap(true, Ordering::SeqCst) {
+            if self.is_due(now) {
+                self.shut();
+            } else {
+                self.late.store(false, Ordering::SeqCst);
+            }
+        }
+    }
+
+    /// What was read from it is somebody's: nobody has shut it, nor does its moment.
+    fn goes_on(&self) -> bool {
+        !self.is_shut() && !self.late.load(Ordering::SeqCst)
+    }
 }
 
 impl Drop for Inner {
@@ -265,9 +288,16 @@
         self.inner.shut();
     }
 
+    /// Tells the peer that nothing more comes, and reads nothing more of what it says.
+    pub fn finish(&self) {
+        self.inner.shut.store(true, Ordering::SeqCst);
+        let _ = self.inner.stream.inner().shutdown(Shutdown::Write);
+        self.inner.stream.wake();
+    }
+
     /// Moves the moment by which a read that is being waited for must have come.
     pub fn read_by(&self, until: Option<Instant>) {
-        self.inner.read_by.store(until.map_or(NEVER, watch::at), Ordering::Release);
+        self.inner.read_by.store(until.map_or(NEVER, watch::at), Ordering::SeqCst);
     }
 
     /// As [`Link::read_by`] where the moment is later, or there is none; nothing while no read is waited for.
@@ -281,7 +311,8 @@
         if self.inner.late.load(Ordering::Acquire) { Fault::TimedOut } else { Fault::Broken }
     }
 
-    /// Reads what has come, at least a byte; 0 at the end.
+    /// Reads what has come, at least a byte; 0 at the end. What came to a link that is shut is nobody's: whoever shut it
+    /// counts on that.
     pub fn read(&self, into: &mut [u8], until: Instant) -> Result<usize, Fault> {
         self.read_until(into, Some(until))
     }
@@ -290,9 +321,12 @@
     pub fn read_until(&self, into: &mut [u8], until: Option<Instant>) -> Result<usize, Fault> {
         let stream = &self.inner.stream;
         loop {
+            if !self.inner.goes_on() {
+                return Err(self.fault());
+            }
             match stream.inner().read(into) {
-                Ok(0) if self.inner.late.load(Ordering::Acquire) => return Err(Fault::TimedOut),
-                Ok(got) => return Ok(got),
+                Ok(got) if got == 0 || self.inner.goes_on() => return Ok(got),
+                Ok(_) => return Err(self.fault()),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Waiting for what happens needs no sole hold on the socket, so that others may shut it.
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -305,9 +339,6 @@
                     }
                     stream.wait();
                     self.read_by(None);
-                    if self.inner.is_shut() {
-                        return Err(self.fault());
-                    }
                 }
                 Err(_) => return Err(self.fault()),
             }
@@ -366,6 +397,15 @@
         self.inner.stream.inner().write(bytes).unwrap_or(0)
     }
 
+    /// Whether the peer has ended it, as far as that can be seen before what it said is read: seen here at once, also
+    /// where whoever reads has not had its turn yet.
+    pub fn ended(&self) -> bool {
+        match self.inner.stream.inner().peek(&mut [0; 1]) {
+            Ok(got) => got == 0,
+            Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
     /// Whether the peer has closed it, or said something unasked: not to be used again either way.
     pub fn stale(&self) -> bool {
         let mut byte = [0; 1];
--- a/crates/net/src/watch.rs
+++ b/crates/net/src/watch.rs
@@ -83,10 +83,7 @@
         let now = at(Instant::now());
         all.retain(|link| {
             let Some(link) = link.upgrade() else { return false };
-            let by = link.read_by.load(Ordering::Acquire).min(link.write_by.load(Ordering::Acquire));
-            if by <= now && !link.late.swap(true, Ordering::AcqRel) {
-                link.shut();
-            }
+            link.shut_if_due(now);
             true
         });
     }
--- a/crates/net/tests/waits.rs
+++ b/crates/net/tests/waits.rs
@@ -1,6 +1,7 @@
 //! Waits end by their moment, whatever the socket does.
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::sync::mpsc::channel;
@@ -69,3 +70,50 @@
         assert!(from.elapsed() < 2 * SHORT, "{name}: {:?}", from.elapsed());
     }
 }
+
+fn pair() -> (Link, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let there = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    (Link::new(listener.accept().expect("a connection").0).expect("a link"), there)
+}
+
+/// Bytes that wait at a link when it is shut or finished are read by nobody: whoever shut it counts on that. Bytes that
+/// come after are not either, and the peer gets what was written before.
+#[test]
+fn what_came_to_a_link_that_is_shut_is_nobodys() {
+    type Ends = fn(&Link);
+    let cases: [(&str, Ends, Option<usize>); 3] =
+        [("open", |_| {}, Some(3)), ("shut", Link::shut, None), ("finished", Link::finish, None)];
+    for (name, ends, read) in cases {
+        let (link, mut there) = pair();
+        there.write_all(b"ask").expect("room");
+        while !link.stale() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        assert!(!link.ended(), "{name}: it only spoke");
+        link.write(b"bye", Instant::now() + SHORT).expect("room");
+        ends(&link);
+        assert_eq!(link.read(&mut [0; 8], Instant::now() + SHORT).ok(), read, "{name}");
+        let mut got = [0; 3];
+        there.read_exact(&mut got).expect("what was written before");
+        assert_eq!(&got, b"bye", "{name}");
+    }
+}
+
+/// That the peer has left is seen without reading, whichever way it left.
+#[test]
+fn an_end_is_seen_without_reading() {
+    for reset in [false, true] {
+        let (link, there) = pair();
+        assert!(!link.ended());
+        if reset {
+            SockRef::from(&there).set_linger(Some(Duration::ZERO)).expect("an option");
+        }
+        drop(there);
+        let until = Instant::now() + SHORT;
+        while !link.ended() {
+            assert!(Instant::now() < until, "reset: {reset}");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -5,7 +5,6 @@
 use crate::shot::Begun;
 use crate::task::Task;
 use crate::{Shared, lock, relay};
-use may::sync::Semphore;
 use may::sync::mpsc::{Receiver, Sender, channel};
 use slab::Slab;
 use std::collections::VecDeque;
@@ -17,12 +16,12 @@
 use tulipstall_http1::{Head, Limits, Refusal, RequestReader, Step};
 use tulipstall_net::{Fault, Link, Listener, READ, sockets_held, spawn};
 use tulipstall_platform::call::{self, BODY, Refused};
-use tulipstall_platform::room::{Goes, Idle, REQUEST, SAYS_NOTHING};
+use tulipstall_platform::room::{AHEAD, Goes, Idle, LINGERS, REQUEST, SAYS_NOTHING, SWALLOWS};
 
 const REQUESTS: Limits = Limits { head: 8192, line: 4096, headers: 48, body: BODY };
 
-/// Requests of one connection that may be read ahead of their turn.
-const PIPELINED: usize = 2;
+/// Clients send one request at a time; what is sent far ahead hides whether its sender is still there.
+const TOO_MANY: Refusal = Refusal::Malformed("too many requests at once");
 
 /// How long a write may wait for a client that does not read.
 const STALL: Duration = Duration::from_secs(5);
@@ -48,24 +47,30 @@
     BrokenOff {
         id: TaskId,
     },
+    /// A shot saw that the client has left, and closed its task.
+    Gone {
+        id: TaskId,
+    },
 }
 
 /// What both coroutines of a connection and whoever makes room know.
 pub struct Client {
     link: Link,
     left: AtomicBool,
-    /// Requests begun to be read and not answered yet: while there are, it is not idle.
+    /// Requests read and not answered yet: while there are, it is not idle.
     busy: AtomicUsize,
     /// Requests answered.
     answered: AtomicUsize,
     /// The host whose stream it gets, to be shut when the client leaves.
     host: Mutex<Option<Link>>,
     since: Mutex<Instant>,
-    ahead: Semphore,
 }
 
+/// Set in `busy` once the connection was ended as idle: what is read from then on is nobody's.
+const ENDED: usize = 1 << (usize::BITS - 1);
+
 impl Client {
-    fn new(link: Link) -> Arc<Client> {
+    pub fn new(link: Link) -> Arc<Client> {
         Arc::new(Client {
             link,
             left: AtomicBool::new(false),
@@ -73,7 +78,6 @@
             answered: AtomicUsize::new(0),
             host: Mutex::new(None),
             since: Mutex::new(Instant::now()),
-            ahead: Semphore::new(PIPELINED),
         })
     }
 
@@ -85,6 +89,42 @@
         self.left.load(Ordering::Acquire)
     }
 
+    /// Whether it has left, also where that has not been read yet.
+    pub fn gone(&self) -> bool {
+        self.left() || self.link.ended()
+    }
+
+    /// One more request is read: how many are in hand with it, or none if the connection was ended before.
+    fn takes(&self) -> Option<usize> {
+        let one_more = |busy: usize| (busy & ENDED == 0).then_some(busy + 1);
+        self.busy.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_more).ok().map(|before| before + 1)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.busy.load(Ordering::SeqCst) == 0
+    }
+
+    /// Ends the connection if no request is in hand; of that and a request that comes in this moment one holds.
+    fn end_if_idle(&self) -> bool {
+        let idle = self.busy.compare_exchange(0, ENDED, Ordering::SeqCst, Ordering::SeqCst).is_ok();
+        if idle {
+            self.left.store(true, Ordering::Release);
+            self.link.shut();
+        }
+        idle
+    }
+
+    /// Reads and throws away what still comes, up to a moment and so many bytes, so that its end is seen behind it.
+    fn swallow(&self, until: Instant) {
+        let (mut buffer, mut left) = ([0; READ], SWALLOWS);
+        while left > 0 {
+            match self.link.read(&mut buffer, until) {
+                Ok(got) if got > 0 => left = left.saturating_sub(got),
+                _ => return,
+            }
+        }
+    }
+
     pub fn streams(&self, host: Option<&Link>) {
         *lock(&self.host) = host.cloned();
         if let (Some(host), true) = (host, self.left()) {
@@ -117,30 +157,20 @@
 
     /// Closes every connection without a request.
     pub fn close_idle(&self) {
-        let open = lock(&self.open);
-        for (_, client) in open.iter().filter(|(_, client)| client.busy.load(Ordering::SeqCst) == 0) {
-            client.link.shut();
+        for (_, client) in lock(&self.open).iter() {
+            client.end_if_idle();
         }
     }
 
     /// Makes room for one more client; whether somebody could go.
     fn make_room(&self, shared: &Shared) -> bool {
         let open = lock(&self.open);
-        let idle = open.iter().filter(|(_, client)| {
-            client.busy.load(Ordering::SeqCst) == 0 && !client.left.load(Ordering::Acquire)
-        });
+        let idle = open.iter().filter(|(_, client)| client.is_idle() && !client.left());
         let idle = idle.map(|(at, client)| {
             let since = lock(&client.since).saturating_duration_since(shared.start);
             (at, Idle { since, known: client.answered.load(Ordering::Relaxed) > 0 })
         });
-        match shared.room.goes(idle) {
-            Some(at) => {
-                open[at].left.store(true, Ordering::Release);
-                open[at].link.shut();
-                true
-            }
-            None => false,
-        }
+        shared.room.goes(idle).is_some_and(|at| open[at].end_if_idle())
     }
 }
 
@@ -170,11 +200,13 @@
                 let come_back = Some(Duration::from_millis(200));
                 let _ = link.write_now(plain(503, "too many connections", false, come_back).as_bytes());
                 link.shut();
+                // Gives its descriptor back within moments: many that come at once must not outrun that.
+                tulipstall_net::sleep(Duration::from_millis(2));
                 continue;
             }
             let client = Client::new(link);
             let out = CountOut { shared: shared.clone(), at: shared.clients.enter(client.clone()) };
-            spawn(move || serve(&out.shared, client));
+            spawn(move || serve(&Arc::new(out), client));
             if goes.is_some() {
                 // Whoever goes gives its descriptor back within moments.
                 tulipstall_net::sleep(Duration::from_millis(2));
@@ -200,10 +232,10 @@
             Err(refusal) => return Message::Refused(refusal),
             Ok(Step::Request(head, body)) => {
                 (since, first) = (None, false);
-                client.busy.fetch_add(1, Ordering::SeqCst);
-                client.ahead.wait();
-                if inbox.send(Message::Request(head, body)).is_err() {
-                    return Message::Left { late: false };
+                match client.takes() {
+                    Some(in_hand) if in_hand > 1 + AHEAD => return Message::Refused(TOO_MANY),
+                    Some(_) if inbox.send(Message::Request(head, body)).is_ok() => {}
+                    _ => return Message::Left { late: false },
                 }
             }
             Ok(Step::Continue) => {
@@ -220,7 +252,7 @@
                     None => now + shared.room.idle(shared.clients.count()),
                 };
                 // The last answer's end sets the time for idleness.
-                let waits = since.is_some() || client.busy.load(Ordering::SeqCst) == 0;
+                let waits = since.is_some() || client.is_idle();
                 let mut buffer = [0; READ];
                 match client.link.read_until(&mut buffer, waits.then_some(until)) {
                     Ok(got) if got > 0 => reader.feed(&buffer[..got]),
@@ -232,24 +264,43 @@
     }
 }
 
-fn serve(shared: &Arc<Shared>, client: Arc<Client>) {
+fn serve(out: &Arc<CountOut>, client: Arc<Client>) {
     let (sender, inbox) = channel();
-    let (about, reading, to) = (shared.clone(), client.clone(), sender.clone());
+    let shared = &out.shared;
+    let (about, reading, to) = (out.clone(), client.clone(), sender.clone());
     spawn(move || {
-        let end = read(&about, &reading, &to);
-        if !matches!(end, Message::Refused(_)) {
+        let end = read(&about.shared, &reading, &to);
+        if matches!(end, Message::Refused(_)) {
+            // What was read before is still answered, but for nobody once the client leaves or keeps on sending.
+            let _ = to.send(end);
+            reading.swallow(Instant::now() + REQUEST);
             reading.leaves();
+            let _ = to.send(Message::Left { late: false });
+        } else {
+            reading.leaves();
+            let _ = to.send(end);
         }
-        let _ = to.send(end);
     });
     let mut connection =
         Connection { shared: shared.clone(), client, inbox, sender, waiting: VecDeque::new() };
     connection.answer_all();
-    connection.client.leaves();
-    connection.client.link.shut();
+    let (had_left, client) = (connection.client.left(), connection.client);
+    client.leaves();
+    if !had_left && shared.room.lingers(sockets_held()) {
+        // Closed over bytes that nobody has read, it would take the answer under way along. They stay unread: whose
+        // request crosses the end asks again elsewhere.
+        client.link.finish();
+        for _ in 0..LINGERS.as_millis() / 10 {
+            tulipstall_net::sleep(Duration::from_millis(10));
+            if client.link.ended() {
+                break;
+            }
+        }
+    }
+    client.link.shut();
 }
 
-/// Takes a client off the list, also where its coroutine panics.
+/// Takes a client off the list once both its coroutines have ended, also where one panics.
 struct CountOut {
     shared: Arc<Shared>,
     at: usize,
@@ -316,7 +367,6 @@
             let keeps = match message {
                 Message::Request(head, body) => {
                     let keeps = self.answer(&head, body);
-                    self.client.ahead.post();
                     self.client.answered.fetch_add(1, Ordering::Relaxed);
                     *lock(&self.client.since) = Instant::now();
                     if self.client.busy.fetch_sub(1, Ordering::SeqCst) == 1 {
@@ -337,7 +387,10 @@
                     false
                 }
                 // Of a task that has had its answer.
-                Message::Begun { .. } | Message::Bounced { .. } | Message::BrokenOff { .. } => true,
+                Message::Begun { .. }
+                | Message::Bounced { .. }
+                | Message::BrokenOff { .. }
+                | Message::Gone { .. } => true,
             };
             if !keeps {
                 return;
@@ -395,6 +448,9 @@
 
     fn call(&mut self, head: &Head, body: Vec<u8>) -> bool {
         let shared = self.shared.clone();
+        if self.client.gone() {
+            return false;
+        }
         let call = match call::read(head, &body, &shared.names) {
             Ok(call) => call,
             Err(Refused { status, why }) => return self.say(status, why, false, None),
@@ -409,7 +465,8 @@
             return self.say(503, "too many requests", self.keeps(head), Some(Duration::from_millis(300)));
         }
         let host = head.text("host").unwrap_or_default().to_owned();
-        let task = Task::new((call.id, call.ask), head.target.clone(), host, body, self.sender.clone());
+        let from = (Arc::downgrade(&self.client), self.sender.clone());
+        let task = Task::new((call.id, call.ask), head.target.clone(), host, body, from);
         let task = Arc::new(task);
         shared.unsettled.fetch_add(1, Ordering::SeqCst);
         shared.posts.post(Post::Arrive(task.clone()));
@@ -449,11 +506,18 @@
                     self.shared.posts.post(Post::Gone(task.clone()));
                     return ("client left", false);
                 }
+                Message::Gone { id } if Some(id) == task.place() => return ("client left", false),
                 // A shot's answer, a bounce or a break-off is on its way; writing it will show that nobody is there.
                 Message::Left { late } => self.waiting.push_back(Message::Left { late }),
-                Message::Begun { .. } | Message::Bounced { .. } | Message::BrokenOff { .. } => {}
+                Message::Begun { .. }
+                | Message::Bounced { .. }
+                | Message::BrokenOff { .. }
+                | Message::Gone { .. } => {}
                 other => self.waiting.push_back(other),
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -169,6 +169,15 @@
     }
 }
 
+impl Drop for Node {
+    /// Nobody is served any more, and what is idle gives its descriptors back.
+    fn drop(&mut self) {
+        self.listener.close();
+        self.shared.clients.close_idle();
+        self.shared.hosts.clear();
+    }
+}
+
 /// Runs until SIGTERM or SIGINT and until all that was taken is answered; on SIGHUP the configuration is read again.
 pub fn run(config: PathBuf) -> Result<(), String> {
     // Before anything else: by themselves these signals end the process.
@@ -188,8 +197,8 @@
 
 /// The configuration has been replaced: the registry may be elsewhere.
 fn again(node: &Node, config: &Path) {
-    // It may be found half written: a few looks.
-    for _ in 0..20 {
+    // It may be found half written, or no descriptor be free: looks for as long as the old registry may be gone unheard.
+    for _ in 0..70 {
         match read(config) {
             Ok(start) => {
                 tracing::info!(registry = %start.discovery, "configuration read again");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -134,15 +134,16 @@
 
     fn carry_out(&mut self, output: Output) {
         match output {
-            Output::Send { task, shot, host, errand, until, .. } => {
+            Output::Send { task, shot, host, errand, until, begin_by, .. } => {
                 let way = self.way(host);
                 let shared = self.shared.clone();
                 let Some(in_hand) = self.held(task) else { return };
                 let out = Arc::new(Out::default());
                 in_hand.shots.push(out.clone());
-                let (about, until) = (in_hand.task.clone(), shared.start + until);
-                let reads = errand == Errand::Read;
-                let shot = Shot { shared, id: task, task: about, number: shot, host, reads, out, until };
+                let (about, reads) = (in_hand.task.clone(), errand == Errand::Read);
+                let (until, begin_by) = (shared.start + until, shared.start + begin_by);
+                let shot =
+                    Shot { shared, id: task, task: about, number: shot, host, reads, out, until, begin_by };
                 spawn(move || shot.run(way));
             }
             Output::Cancel { task, shot } => {
--- a/crates/node/src/shot.rs
+++ b/crates/node/src/shot.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 use tulipstall::interface::Outcome;
 use tulipstall_core::{End, Input, TaskId};
-use tulipstall_net::{Fault, Link, Reply};
+use tulipstall_net::{Fault, Link, Reply, sockets_held};
 use tulipstall_platform::host::{self, ANSWER, Events, Says};
 use tulipstall_platform::kept::Kept;
 use tulipstall_platform::{letting_go, patience};
@@ -25,6 +25,7 @@
     pub reads: bool,
     pub out: Arc<Out>,
     pub until: Instant,
+    pub begin_by: Instant,
 }
 
 /// A stream whose first event has come, handed to the client's coroutine with all that it needs to end it.
@@ -109,6 +110,15 @@
             None => Ok((Link::connect(&way.address(), self.connect.min(within))?, None)),
         }
     }
+
+    /// Whether a shot finds a connection, or room for one: idle ones go first where there is none.
+    fn has_room(&self, way: &Way) -> bool {
+        let room = || self.room.connects(sockets_held());
+        way.pool.any() || room() || {
+            self.hosts.clear();
+            room()
+        }
+    }
 }
 
 /// Puts a connection back whose answer has ended in good order.
@@ -171,14 +181,26 @@
         }
     }
 
+    /// Whether nobody waits any more, looked at where the client's connection is: at a loaded core whoever reads there
+    /// may not have had its turn. The task ends by that.
+    fn client_is_gone(&self) -> bool {
+        let gone = self.task.client_is_gone();
+        if gone && self.task.close() {
+            self.shared.posts.post(Post::Gone(self.task.clone()));
+            let _ = self.task.inbox.send(Message::Gone { id: self.id });
+        }
+        gone
+    }
+
     fn shoot(&self, way: &Arc<Way>, closing: &mut Closing) -> Result<Done, Outcome> {
         // Told to drain or gone since it was decided, or called off: provably never sent.
         let may = || (way.open() && !self.out.cancelled()).then_some(()).ok_or(Outcome::Moot);
         may()?;
-        if left(self.until).is_zero() {
+        let within = left(self.until.min(self.begin_by));
+        if within.is_zero() || !self.shared.has_room(way) {
             return Err(Outcome::Moot);
         }
-        let (link, idle) = self.shared.link(way, left(self.until)).map_err(|_| Outcome::NoConnection)?;
+        let (link, idle) = self.shared.link(way, within).map_err(|_| Outcome::NoConnection)?;
         self.out.hold(Some(&link));
         may()?;
         let task = &self.task;
@@ -186,9 +208,12 @@
             let Some(body) = task.body() else { return Err(Outcome::Moot) };
             host::request(&task.target, &task.host, &task.id, left(self.until), &body)
         };
+        if self.client_is_gone() || left(self.begin_by).is_zero() {
+            return Err(Outcome::Moot);
+        }
         closing.is_out(way);
         // Until its last byte is written nobody runs it.
-        link.write(&request, self.until).map_err(|_| Outcome::NoConnection)?;
+        link.write(&request, self.until.min(self.begin_by)).map_err(|_| Outcome::NoConnection)?;
         drop(request);
         let (written, mut reply) = (Instant::now(), Reply::new(link, ANSWER));
         let head = reply.head_begun(self.until, patience::BEGUN);
--- a/crates/node/src/task.rs
+++ b/crates/node/src/task.rs
@@ -1,10 +1,10 @@
 //! A task and its shots as the coroutines share them: who may answer the client is settled by one exchange.
 
-use crate::front::Message;
+use crate::front::{Client, Message};
 use crate::lock;
 use may::sync::mpsc::Sender;
 use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Instant;
 use tulipstall_core::{Ask, TaskId};
 use tulipstall_net::Link;
@@ -25,6 +25,8 @@
     body: Mutex<Option<Arc<Vec<u8>>>>,
     pub ask: Ask,
     pub arrived: Instant,
+    /// Not held: its connection ends when its coroutines do, whatever is still out.
+    client: Weak<Client>,
     pub inbox: Sender<Message>,
     place: AtomicU64,
     answer: AtomicU32,
@@ -36,11 +38,11 @@
         target: String,
         host: String,
         body: Vec<u8>,
-        inbox: Sender<Message>,
+        (client, inbox): (Weak<Client>, Sender<Message>),
     ) -> Self {
         let body = Mutex::new(Some(Arc::new(body)));
         let (place, answer) = (AtomicU64::new(u64::MAX), AtomicU32::new(OPEN));
-        Task { id, target, host, body, ask, arrived: Instant::now(), inbox, place, answer }
+        Task { id, target, host, body, ask, arrived: Instant::now(), client, inbox, place, answer }
     }
 
     pub fn set_place(&self, id: TaskId) {
@@ -72,6 +74,11 @@
         taken
     }
 
+    /// Whether its client has left, as its connection tells.
+    pub fn client_is_gone(&self) -> bool {
+        self.client.upgrade().is_none_or(|client| client.gone())
+    }
+
     pub fn body(&self) -> Option<Arc<Vec<u8>>> {
         lock(&self.body).clone()
     }
@@ -132,7 +139,7 @@
             [([close, first, second], true), ([second, first, close], false), ([first, close, second], false)]
         {
             let ask = ("a".to_owned(), Ask::default());
-            let task = Task::new(ask, "/".to_owned(), "x".to_owned(), vec![1], channel().0);
+            let task = Task::new(ask, "/".to_owned(), "x".to_owned(), vec![1], (Weak::new(), channel().0));
             assert_eq!(claims.map(|claim| claim(&task)), [true, false, false]);
             assert_eq!(task.body().is_some(), prompt);
         }
--- a/crates/platform/src/room.rs
+++ b/crates/platform/src/room.rs
@@ -11,6 +11,16 @@
 pub const SAYS_NOTHING: Duration = Duration::from_millis(1500);
 pub const REQUEST: Duration = Duration::from_millis(2000);
 
+/// Requests of one connection that may be read ahead of their turn.
+pub const AHEAD: usize = 2;
+
+/// Bytes that are read from a client which can't be understood any more, to see whether it is still there: four of the
+/// largest bodies, a moment's work.
+pub const SWALLOWS: usize = 4 * crate::call::BODY;
+
+/// How long a connection lingers behind its last answer: some round trips, few descriptors.
+pub const LINGERS: Duration = Duration::from_millis(100);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Room {
     sockets: usize,
@@ -59,6 +69,17 @@
         held * 4 < self.sockets * 3
     }
 
+    /// Whether a connection to a host may be opened with so many sockets held: the rest is for the registry, for calls
+    /// that let go and for what is read on a signal.
+    pub fn connects(&self, held: usize) -> bool {
+        held < self.sockets
+    }
+
+    /// Whether a connection that ends may wait for its client to see that, with so many sockets held.
+    pub fn lingers(&self, held: usize) -> bool {
+        held * 2 < self.sockets
+    }
+
     /// Who must go for the newest of so many clients, with so many sockets held.
     pub fn must_go(&self, clients: usize, held: usize) -> Option<Goes> {
         match (clients > self.clients(), held * 8 >= self.sockets * 7) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -227,6 +227,8 @@
         task: u32,
         host: u32,
         until: Duration,
+        /// When its first byte goes out at the latest: not sent after that.
+        begin_by: Duration,
     },
     Cancel {
         task: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 //! compares that with what is out, held and timed, and emits the difference.
 
 use crate::interface::{
-    Action, Belief, Closed, Event, Key, Listed, Load, Order, Outcome, Ran, Role, Standing, Terms,
+    Action, Closed, Event, Key, Listed, Load, Order, Outcome, Ran, Role, Standing, Terms,
 };
 pub use crate::state::Rules;
 use crate::state::{Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted};
@@ -37,6 +37,12 @@
         });
         self.effect == "replayable" || (self.effect == "referenced" && same && now < shot.sent + self.window)
     }
+
+    /// By when a shot has to begin, inside the windows of all that may have run: its connection may take longer.
+    fn begin_by(&self, task: &Task, until: Duration) -> Duration {
+        let bound = task.ran().filter(|_| self.effect == "referenced");
+        bound.map(|shot| shot.sent + self.window).fold(until, Duration::min)
+    }
 }
 
 impl Rules {
@@ -113,13 +119,6 @@
         }
     }
 
-    /// What is thought of a host now, for whoever compares that with what passes on the sockets.
-    pub fn belief(&self, h: u32, now: Duration) -> Option<Belief> {
-        let host = self.hosts.get(h as usize).filter(|host| host.runs() || host.shots_out > 0)?;
-        let (doubt, slow) = (host.doubt(now), self.slow(h, Part::Read));
-        Some(Belief { shots: host.shots_out, reading: host.reading, writing: host.writing, doubt, slow })
-    }
-
     fn hosts_listed(&mut self, whole: bool, listed: &[Listed], out: &mut Vec<Action>) {
         let now = self.now;
         self.note_paces();
@@ -513,7 +512,7 @@
 
     /// How many times slower than its role a reader has been of late; 1 within the usual spread of sound
     /// ones, up to 2 so weighed; ten bounds what a reading taken in a jam can do.
-    fn slow(&self, h: u32, part: Part) -> f64 {
+    pub(crate) fn slow(&self, h: u32, part: Part) -> f64 {
         let times = self.speed(h) / self.speeds[self.hosts[h as usize].listed.role as usize].value();
         if times < 2.0 || part == Part::Write { 1.0 } else { times.min(10.0) }
     }
@@ -881,6 +880,7 @@
         let further = task.shots.iter().any(|shot| shot.failed);
         let reads = part != Part::Write;
         let net = if reads { self.net(t, h) } else { 0.0 };
+        let begin_by = self.offerings[self.tasks[t].offering].begin_by(&self.tasks[t], until);
         let shot = Shot {
             host: h,
             mark: self.hosts[h as usize].listed.mark,
@@ -903,7 +903,7 @@
         // The step after a read is no further shot; one after a failure is, and spends credit.
         host.credit -= if further { 1.0 } else { 0.0 };
         host.asked.add(now, 60.0, shot.net);
-        out.push(Action::Send { task: number, host: h, until });
+        out.push(Action::Send { task: number, host: h, until, begin_by });
     }
 }
 
@@ -914,7 +914,7 @@
     }
 
     /// Suspicion fades in some four seconds, so that a host is tried again by and by.
-    fn doubt(&self, now: Duration) -> f64 {
+    pub(crate) fn doubt(&self, now: Duration) -> f64 {
         self.suspicion.left(now, 4.0)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that the rules keep, and the plain helpers on it: no decision, no tuned value.
 
-use crate::interface::{Key, Listed, Order, Standing, Terms};
+use crate::interface::{Belief, Key, Listed, Order, Standing, Terms};
 use std::time::Duration;
 
 /// PCG-XSH-RR 64/32 (O'Neill).
@@ -322,3 +322,12 @@
     /// How much sooner than agreed a task should seem to come, by how many shots ran out of time.
     pub(crate) caution: f64,
 }
+
+impl Rules {
+    /// What is thought of a host now, for whoever compares that with what passes on the sockets.
+    pub fn belief(&self, h: u32, now: Duration) -> Option<Belief> {
+        let host = self.hosts.get(h as usize).filter(|host| host.runs() || host.shots_out > 0)?;
+        let (doubt, slow) = (host.doubt(now), self.slow(h, Part::Read));
+        Some(Belief { shots: host.shots_out, reading: host.reading, writing: host.writing, doubt, slow })
+    }
+}
