Test the program under a bound of 128 descriptors with idle clients and a registry that is down

Under the system's own bound (ulimit): 256 and more idle or half-asking clients press while the registry is down; requests are served, the return is heard inside the grace, SIGHUP and SIGTERM work. What holds already only gains its test.

--- /dev/null
+++ b/crates/cli/tests/descriptors.rs
@@ -0,0 +1,118 @@
+//! The program under the system's own bound on descriptors: whoever takes them idly leaves room for what keeps it going.
+
+#[path = "../../node/tests/platform/mod.rs"]
+mod platform;
+
+use platform::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Idle clients, and such as send half a request, press for all descriptors while the registry is down: requests are
+/// served, the registry is heard at its return inside the grace, its move is read on SIGHUP, and all ends on SIGTERM.
+#[test]
+fn idle_clients_leave_descriptors_for_what_keeps_it_going() {
+    const SOCKETS: usize = 128;
+    let script = Script::default();
+    let (r1, w1, w2) = (Host::start("r1", &script), Host::start("w1", &script), Host::start("w2", &script));
+    let registry = Registry::start(&[&r1, &w1, &w2]);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let file = std::env::temp_dir().join(format!("tulipstall-descriptors-{}.json", std::process::id()));
+    let told = config(&registry, SOCKETS, 1).replacen("127.0.0.1:0", &address.to_string(), 1);
+    std::fs::write(&file, &told).expect("a file");
+    let program = env!("CARGO_BIN_EXE_tulipstall");
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {SOCKETS}; exec {program} node")]).env("EDGE_CONFIG", &file);
+    let mut running = Running(command.stderr(Stdio::null()).spawn().expect("the program"));
+    let until = Instant::now() + ms(10_000);
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    while TcpStream::connect(address).is_err() || !ask(address, ready).starts_with("HTTP/1.1 200") {
+        assert!(Instant::now() < until, "never ready");
+        thread::sleep(ms(10));
+    }
+    registry.down.store(true, Ordering::SeqCst);
+    // Twice as many as there are descriptors, taken anew as they are let go.
+    let mut stay: Vec<TcpStream> = Vec::new();
+    let press = |stay: &mut Vec<TcpStream>, many: usize| {
+        for i in 0..many {
+            let mut stream = connect(address);
+            let _ = stream.write_all(if i % 2 == 0 {
+                &b""[..]
+            } else {
+                b"POST /v1/chat/completions HTTP/1.1\r\nHost"
+            });
+            stay.push(stream);
+        }
+    };
+    let serve = |id: &str| {
+        let answer = ask(address, &call(id, "Connection: close\r\n"));
+        assert!(whole(&answer, id), "{id}: {answer}");
+    };
+    for round in 0..4 {
+        press(&mut stay, SOCKETS / 2);
+        for i in 0..5 {
+            serve(&format!("down{round}x{i}"));
+        }
+    }
+    // Back with a host that drains, after the watch that was open then has been given up.
+    registry.tell(line(&w1, "leaving"));
+    thread::sleep(ms(2000));
+    registry.down.store(false, Ordering::SeqCst);
+    let back = Instant::now();
+    let mut i = 0;
+    while back.elapsed() < ms(1500) {
+        press(&mut stay, 10);
+        serve(&format!("back{i}"));
+        i += 1;
+    }
+    let late = |(.., at): &(String, String, Instant)| *at > back + ms(300);
+    let last = w1.calls().iter().filter(|call| late(call)).map(|(.., at)| *at - back).max();
+    assert_eq!(last, None, "the registry was not heard");
+    // Moved, with descriptors as short as before.
+    let w3 = Host::start("w3", &script);
+    let elsewhere = Registry::start(&[&r1, &w3]);
+    let moved = told.replace(&registry.address.to_string(), &elsewhere.address.to_string());
+    std::fs::write(&file, moved).expect("a file");
+    let signal = |name: &str| Command::new("kill").args([name, &running.0.id().to_string()]).status();
+    assert!(signal("-HUP").is_ok_and(|status| status.success()));
+    let moved = Instant::now();
+    while w3.calls().is_empty() {
+        assert!(moved.elapsed() < ms(4000), "the move was not read");
+        press(&mut stay, 10);
+        let _ = ask(address, &call(&format!("moved{i}"), "Connection: close\r\n"));
+        i += 1;
+    }
+    assert!(signal("-TERM").is_ok_and(|status| status.success()));
+    let until = Instant::now() + ms(6000);
+    let status = loop {
+        if let Some(status) = running.0.try_wait().expect("a child") {
+            break status;
+        }
+        assert!(Instant::now() < until, "it does not stop");
+        thread::sleep(ms(10));
+    };
+    assert!(status.success(), "{status}");
+    for mut stream in stay {
+        let _ = stream.set_read_timeout(Some(ms(200)));
+        assert!(stream.read(&mut [0; 512]).is_ok_and(|got| got < 512), "nobody is left waiting");
+    }
+    let _ = std::fs::remove_file(&file);
+}
