--- a/crates/node/tests/acceptance.rs
+++ b/crates/node/tests/acceptance.rs
@@ -312,6 +312,40 @@
     }
 }
 
+/// Answers of readers and writers that are cut at every byte: each request has one answer at once, whole, none, or one
+/// that is seen to be cut; never one that seems whole.
+#[test]
+fn answers_cut_at_every_byte_never_seem_whole() {
+    let p = platform(256);
+    let address = p.node.address();
+    // A reader's answer and a writer's, with room for both to be longer than thought.
+    for (host, longest) in [(&p.r1, 80), (&p.w1, 420)] {
+        let (mut whole_ones, mut cut) = (0, 0);
+        for bytes in 0..longest {
+            host.does(&[Does::Cut(bytes)]);
+            let id = format!("cut{}x{bytes:03}", host.name);
+            let from = Instant::now();
+            let answer = ask(address, &call(&id, CLOSE));
+            assert!(from.elapsed() < ms(1500), "{id}: {:?}", from.elapsed());
+            let seen = answer.starts_with("HTTP/1.1 200") && !answer.ends_with("0\r\n\r\n");
+            assert!(whole(&answer, &id) || seen || answer.starts_with("HTTP/1.1 503"), "{id}: {answer}");
+            // Answers earn what a further attempt costs: without, each cut one would be waited for.
+            for i in 0..5 {
+                let id = format!("good{}x{bytes:03}x{i}", host.name);
+                assert!(whole(&ask(address, &call(&id, CLOSE)), &id), "{id}");
+            }
+            whole_ones += usize::from(whole(&answer, &id));
+            cut += usize::from(seen);
+            host.script.lock().expect("no panic").clear();
+        }
+        assert!(
+            whole_ones > 0 && (host.name == "r1") == (cut == 0),
+            "{}: {whole_ones} whole, {cut} cut",
+            host.name
+        );
+    }
+}
+
 /// Ready though the registry says nothing, its list is long and old, and clients already press.
 #[test]
 fn ready_with_a_silent_registry_a_long_list_and_clients_that_press() {
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -29,6 +29,8 @@
     Breaks,
     /// As that, so many milliseconds later.
     BreaksIn(u64),
+    /// A good answer up to so many bytes, then the connection breaks.
+    Cut(usize),
     /// So many events at once.
     Long(usize),
     /// The second event comes so many milliseconds later.
@@ -153,6 +155,10 @@
                 Some(Does::Long(events)) => {
                     stream.write_all(format!("{half}{}{DONE}", event("more").repeat(events)).as_bytes())
                 }
+                Some(Does::Cut(bytes)) => {
+                    let _ = stream.write_all(&good.as_bytes()[..bytes.min(good.len())]);
+                    return;
+                }
                 Some(Does::Breaks) => return,
                 Some(Does::BreaksIn(ms)) => return thread::sleep(Duration::from_millis(ms)),
             };
