Let no connection that never comes up stop the clock of a held state

Lines at fault: closed() set wait_until anew with every outcome, plan() went on to the next writer whatever time was left. Change: an outcome that never came to a host leaves the clock of a held state, and past it the task is given up at once. The test is red without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -232,8 +232,11 @@
         let (now, t) = (self.now, closed.task);
         let Some(task) = self.tasks.get_mut(t as usize).filter(|task| task.live) else { return t };
         task.ended |= closed.finished;
-        // Seven tenths of the time for letting go leave room for a late timer.
-        task.wait_until = now + self.terms.span("service.release_us").unwrap_or_default().mul_f64(0.7);
+        // Seven tenths of the time for letting go leave room for a late timer, and for a last connection. What
+        // never came to a host stops no clock of a state that is held.
+        if task.held_by.is_none() || !matches!(closed.outcome, Outcome::NoConnection | Outcome::Moot) {
+            task.wait_until = now + self.terms.span("service.release_us").unwrap_or_default().mul_f64(0.7);
+        }
         let Some(shot) = task.shots.get_mut(closed.shot as usize).filter(|shot| shot.out) else { return t };
         shot.out = false;
         shot.may_have_run = shot.part != Part::Read && !closed.outcome.never_ran();
@@ -330,9 +333,8 @@
         t
     }
 
-    /// A shot ran out of its client's time, or the client left before the agreed time. A tenth more for each,
-    /// a hundredth less for one that came: settles at one in ten. Holds against clients that leave little
-    /// time and ask again at once, as what they left goes on, and against those with less patience than told.
+    /// A shot ran out of its client's time, or the client left before the agreed time: a tenth more for each, a
+    /// hundredth less for one that came. Holds against impatient clients, and such as ask again at once.
     fn out_of_time(&mut self) {
         self.caution = (self.caution * 1.1).min(4.0);
     }
@@ -381,8 +383,7 @@
 
     /// A shared text is at home at the hosts that a hash of both ranks highest: dispatchers that cannot talk
     /// bring it to the same readers, whose memory holds more texts. Two, or as many as its part of the tasks
-    /// seen here would keep busy; where counts tell little, those of the own zone first, which a cut between
-    /// zones leaves.
+    /// seen here would keep busy; where counts tell little, those of the own zone first: cuts run between zones.
     fn find_homes(&mut self, order: &Order) -> [u32; 8] {
         let Some(key) = order.shared else { return [u32::MAX; 8] };
         // Half a minute: dozens of tasks even at one a second; ten more, so that a second text is not all. This
@@ -595,9 +596,7 @@
             };
             let may = fit && self.may_send(t, h);
             // The host that this task's answer is taken from, lost or slow, or that turned it away, counts as
-            // past what is alike: its own counts may not tell why. Holds against hosts that turn away for
-            // other reasons than their load. Not where it may have run: that fails by chance more often than
-            // a writer farther off is worth.
+            // past what is alike: its own counts may not tell why. Not where it may have run: by chance.
             let leaves = self.tasks[t].leaves(h);
             let left = if leaves { 1.5 * self.alike(t) } else { 0.0 };
             counts.push(if may { self.pending(h, part, net) + left } else { f64::INFINITY });
@@ -778,7 +777,8 @@
         let told = &self.offerings[task.offering];
         let barred = !task.ran().all(|shot| told.again(shot, &self.hosts, None, now));
         let late = now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
-        if late || barred || task.shots.len() >= most || (first && !self.room(t)) {
+        let pinned = held.is_some() && now >= task.wait_until;
+        if late || pinned || barred || task.shots.len() >= most || (first && !self.room(t)) {
             return self.give_up(t);
         }
         let pick = match held {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -245,6 +245,24 @@
     }
 }
 
+/// Connections to writers that never come up stop no clock of the state that waits: it is let go of in the stated time,
+/// half a second here, the last connection's included.
+#[test]
+fn connections_that_never_come_up_do_not_hold_a_state_longer() {
+    for (outcome, each, released) in
+        [(NoConnection, 250, 530), (Moot, 100, 430), (Full, 250, 1280), (NoConnection, 400, 430)]
+    {
+        let mut desk = Desk::new(&[], &[(READER, 0), (WRITER, 0), (WRITER, 0), (WRITER, 0), (WRITER, 0)]);
+        desk.order(0, 1, 1, 100);
+        assert_eq!(letters(&desk.close(30, 1, 0, Read)), "S");
+        let ends = (1..).map(|shot| (30 + each * u64::from(shot), shot));
+        let at =
+            ends.map(|(at, shot)| (at, desk.close(at, 1, shot, outcome))).find(|(_, a)| letters(a) != "S");
+        let (at, actions) = at.expect("an end");
+        assert_eq!((at, letters(&actions)), (released, "BR".to_owned()), "{outcome:?} after {each} ms each");
+    }
+}
+
 #[test]
 fn a_reader_is_picked_by_pending_tokens_net_of_kept_ones() {
     // Tokens already sent to readers 0 and 1; tokens of the session's next prompt; whether its last reader
