Bind a further attempt by the host it went to, whoever has that place now

Offering::again looked up the zone and cell of an earlier attempt by that place (rules.rs, again), and watch asked whether its host is gone there too: in a fleet replaced faster than attempts end, a keyed request could be repeated in the new owner's group, and an attempt at a host that is gone was waited for. An attempt now keeps the line that its host had when it was sent. The new table was red without it (the further attempt went to host 3, of another cell).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,12 +28,11 @@
 impl Offering {
     /// Whether a shot that may have run may be followed by another, there or (absent) anywhere: a replayable
     /// one always, a referenced one inside its group and window, a single-use one never.
-    fn again(&self, shot: &Shot, hosts: &[Host], there: Option<&Host>, now: Duration) -> bool {
-        let (from, there) = (&hosts[shot.host as usize].listed, there.map(|host| &host.listed));
+    fn again(&self, shot: &Shot, there: Option<&Host>, now: Duration) -> bool {
         let same = there.is_none_or(|there| match self.group.as_str() {
             "all" => true,
-            "zone" => from.zone == there.zone,
-            _ => from.cell == there.cell,
+            "zone" => shot.at.zone == there.listed.zone,
+            _ => shot.at.cell == there.listed.cell,
         });
         self.effect == "replayable" || (self.effect == "referenced" && same && now < shot.sent + self.window)
     }
@@ -193,6 +192,7 @@
             // An answer gone on with: its lost shot binds what follows like one of its own.
             earlier: order.ran.map(|Ran { host, sent }| Shot {
                 host,
+                at: self.hosts.get(host as usize).map(|host| host.listed).unwrap_or_default(),
                 sent,
                 may_have_run: true,
                 ..Shot::default()
@@ -269,7 +269,7 @@
         }
         // Its place has a new owner, who must not pay for the one that left. Holds against fleets replaced at
         // once, under new names, while shots are out.
-        if host.listed.mark != shot.mark {
+        if host.listed.mark != shot.at.mark {
             return t;
         }
         // Turned away by a host that own counts, taken for every dispatcher's, leave mostly free, while a
@@ -449,8 +449,7 @@
         let told = &self.offerings[task.offering];
         let credit = host.credit >= 1.0 || !task.shots.iter().any(|shot| shot.failed);
         // A read for it counts as a further shot too, though it has no effect of its own.
-        let again =
-            host.runs() && credit && task.ran().all(|shot| told.again(shot, &self.hosts, Some(host), now));
+        let again = host.runs() && credit && task.ran().all(|shot| told.again(shot, Some(host), now));
         again && self.cold_budget(h) >= 1.0
     }
 
@@ -775,7 +774,7 @@
         let agreed = (task.due - task.arrived).as_secs_f64();
         let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
         let told = &self.offerings[task.offering];
-        let barred = !task.ran().all(|shot| told.again(shot, &self.hosts, None, now));
+        let barred = !task.ran().all(|shot| told.again(shot, None, now));
         let late = now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
         let pinned = held.is_some() && now >= task.wait_until;
         if late || pinned || barred || task.shots.len() >= most || (first && !self.room(t)) {
@@ -823,8 +822,8 @@
         let peers = self.peers(host.listed.role).any(|(_, peer)| peer.heard > shot.sent);
         let silent = now >= shot.sent + 3 * patience && host.heard <= shot.sent && peers;
         let overtaken = now >= shot.sent + patience && host.overtook > shot.sent + patience / 4;
-        let gone = host.listed.standing == Standing::Gone;
-        let stays = shot.part != Part::Read && !told.again(&shot, &self.hosts, None, now);
+        let gone = host.listed.standing == Standing::Gone || host.listed.mark != shot.at.mark;
+        let stays = shot.part != Part::Read && !told.again(&shot, None, now);
         let want = &mut self.tasks[t].want;
         want.keep = true;
         if shot.started.is_some() || shot.cancelled || stays || !self.terms.flag("allowed.cancel") {
@@ -840,7 +839,7 @@
     fn give_up(&mut self, t: usize) {
         let (now, task) = (self.now, &mut self.tasks[t]);
         let told = &self.offerings[task.offering];
-        let over = task.earlier.as_ref().is_some_and(|shot| !told.again(shot, &self.hosts, None, now));
+        let over = task.earlier.as_ref().is_some_and(|shot| !told.again(shot, None, now));
         let ran = over || task.shots.iter().any(|shot| shot.may_have_run);
         let all = told.effect == "replayable" || (told.effect == "referenced" && told.group == "all");
         task.want = Wanted { answer: Some(all || !ran), ..Wanted::default() };
@@ -884,7 +883,7 @@
         let begin_by = self.offerings[self.tasks[t].offering].begin_by(&self.tasks[t], until);
         let shot = Shot {
             host: h,
-            mark: self.hosts[h as usize].listed.mark,
+            at: self.hosts[h as usize].listed,
             part,
             sent: now,
             net,
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,8 +132,8 @@
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Shot {
     pub(crate) host: u32,
-    /// Of the host that it went to: its place may have a new owner by its end.
-    pub(crate) mark: u64,
+    /// The host that it went to as it was listed then: its place may have a new owner by its end.
+    pub(crate) at: Listed,
     pub(crate) part: Part,
     pub(crate) sent: Duration,
     /// Tokens to read, until read; tokens of the stream, until it ends; and all that were to be read before
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -434,6 +434,43 @@
     }
 }
 
+/// Fleets are replaced faster than attempts end, and places of hosts get new owners: what an attempt binds, and whether
+/// its host is gone, hangs on the host that it went to.
+#[test]
+fn an_attempt_stays_with_its_host_though_that_ones_place_has_a_new_owner() {
+    // Effect, group; whether the new owner is of another cell and zone; where the further attempt goes.
+    for (effect, group, moved, next) in [
+        ("referenced", "cell", true, &[4][..]),
+        ("referenced", "zone", true, &[4]),
+        ("referenced", "cell", false, &[2, 4]),
+        ("referenced", "all", true, &[2, 3, 4]),
+        ("replayable", "cell", true, &[2, 3, 4]),
+    ] {
+        let extra = [("offerings.0.effect", effect), ("offerings.0.group", group)];
+        let hosts = [(READER, 0), (READER, 0), (WRITER, 0), (WRITER, 1), (WRITER, 0)];
+        let mut desk = Desk::new(&extra, &hosts);
+        for host in [3, 4] {
+            desk.list(0, host, Standing::Draining, None);
+        }
+        desk.order(1, 9, 9, 500);
+        assert_eq!(sent(&desk.close(20, 9, 0, Read)), Some(2));
+        desk.hosts[2].mark += 1;
+        if moved {
+            (desk.hosts[2].cell, desk.hosts[2].zone) = (1, 1);
+        }
+        let out = desk.list(30, 2, Standing::Running, None);
+        for host in [3, 4] {
+            desk.list(31, host, Standing::Running, None);
+        }
+        let further = sent(&desk.close(40, 9, 1, Cancelled));
+        let about = format!("{effect} {group} {moved}");
+        assert!(further.is_some_and(|host| next.contains(&host)), "{about}: {further:?}");
+        // Whom it went to is gone: where an attempt may be followed by another it is called off at once.
+        let called_off = out.iter().any(|action| matches!(action, Action::Cancel { task: 9, .. }));
+        assert!(called_off, "{about}: {out:?}");
+    }
+}
+
 #[test]
 fn silence_costs_a_shot_not_the_task() {
     // Whether others were answered by the silent host, or its peer, since; whether the shot is let go of.
