Pass the key of a keyed request on with every attempt

A trial that logged clients' heads shows an Idempotency-Key header (draft-ietf-httpapi-idempotency-key-header) on such requests alone; platform::host::request wrote a head of its own without it, so that hosts could not have known a repeat. It goes with every attempt as it came now; two are a bad request. Test on sockets, red without it.

--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -3,26 +3,15 @@
 #[path = "../../node/tests/platform/mod.rs"]
 mod platform;
 
+mod running;
+
 use platform::*;
+use running::{Running, ms};
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant};
-
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
+use std::time::Instant;
 
 /// Idle clients, and such as send half a request, press for all descriptors while the registry is down: requests are
 /// served, the registry is heard at its return inside the grace, its move is read on SIGHUP, and all ends on SIGTERM.
@@ -32,22 +21,8 @@
     let script = Script::default();
     let (r1, w1, w2) = (Host::start("r1", &script), Host::start("w1", &script), Host::start("w2", &script));
     let registry = Registry::start(&[&r1, &w1, &w2]);
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    drop(listener);
-    let file = std::env::temp_dir().join(format!("tulipstall-descriptors-{}.json", std::process::id()));
-    let told = config(&registry, SOCKETS, 1).replacen("127.0.0.1:0", &address.to_string(), 1);
-    std::fs::write(&file, &told).expect("a file");
-    let program = env!("CARGO_BIN_EXE_tulipstall");
-    let mut command = Command::new("sh");
-    command.args(["-c", &format!("ulimit -n {SOCKETS}; exec {program} node")]).env("EDGE_CONFIG", &file);
-    let mut running = Running(command.stderr(Stdio::null()).spawn().expect("the program"));
-    let until = Instant::now() + ms(10_000);
-    let ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    while TcpStream::connect(address).is_err() || !ask(address, ready).starts_with("HTTP/1.1 200") {
-        assert!(Instant::now() < until, "never ready");
-        thread::sleep(ms(10));
-    }
+    let mut running = Running::start("descriptors", &registry, SOCKETS).ready();
+    let address = running.address;
     registry.down.store(true, Ordering::SeqCst);
     // Twice as many as there are descriptors, taken anew as they are let go.
     let mut stay: Vec<TcpStream> = Vec::new();
@@ -89,10 +64,8 @@
     // Moved, with descriptors as short as before.
     let w3 = Host::start("w3", &script);
     let elsewhere = Registry::start(&[&r1, &w3]);
-    let moved = told.replace(&registry.address.to_string(), &elsewhere.address.to_string());
-    std::fs::write(&file, moved).expect("a file");
-    let signal = |name: &str| Command::new("kill").args([name, &running.0.id().to_string()]).status();
-    assert!(signal("-HUP").is_ok_and(|status| status.success()));
+    running.write(&running.told_of(&registry, &elsewhere));
+    running.signal("-HUP");
     let moved = Instant::now();
     while w3.calls().is_empty() {
         assert!(moved.elapsed() < ms(4000), "the move was not read");
@@ -100,19 +73,11 @@
         let _ = ask(address, &call(&format!("moved{i}"), "Connection: close\r\n"));
         i += 1;
     }
-    assert!(signal("-TERM").is_ok_and(|status| status.success()));
-    let until = Instant::now() + ms(6000);
-    let status = loop {
-        if let Some(status) = running.0.try_wait().expect("a child") {
-            break status;
-        }
-        assert!(Instant::now() < until, "it does not stop");
-        thread::sleep(ms(10));
-    };
+    running.signal("-TERM");
+    let (status, _) = running.ends(ms(6000));
     assert!(status.success(), "{status}");
     for mut stream in stay {
         let _ = stream.set_read_timeout(Some(ms(200)));
         assert!(stream.read(&mut [0; 512]).is_ok_and(|got| got < 512), "nobody is left waiting");
     }
-    let _ = std::fs::remove_file(&file);
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -16,6 +16,7 @@
 use tulipstall_http1::{Head, Limits, Refusal, RequestReader, Step};
 use tulipstall_net::{Fault, Link, Listener, READ, sockets_held, spawn};
 use tulipstall_platform::call::{self, BODY, Refused};
+use tulipstall_platform::host::Passed;
 use tulipstall_platform::room::{AHEAD, FIRST, Goes, Idle, LINGERS, REQUEST, SAYS_NOTHING, SWALLOWS};
 
 const REQUESTS: Limits = Limits { head: 8192, line: 4096, headers: 48, body: BODY };
@@ -572,14 +573,15 @@
         }
         let host = head.text("host").unwrap_or_default().to_owned();
         let from = (Arc::downgrade(&self.client), self.sender.clone());
-        let task = Task::new((call.id, call.ask), head.target.clone(), host, body, from);
+        let passed = Passed { target: head.target.clone(), host, id: call.id, key: call.key };
+        let task = Task::new(passed, call.ask, body, from);
         let task = Arc::new(task);
         shared.unsettled.fetch_add(1, Ordering::SeqCst);
         shared.posts.post(Post::Arrive(task.clone()));
         let waited = catch_unwind(AssertUnwindSafe(|| self.wait_for_answer(&task, head)));
         let (answer, keeps) = waited.unwrap_or_else(|_| {
             // A stream that had begun ends without its last chunk, as does whatever else was under way.
-            tracing::error!(id = task.id, "a panic while answering: the task is broken off");
+            tracing::error!(id = task.call.id, "a panic while answering: the task is broken off");
             task.close();
             shared.posts.post(Post::Gone(task.clone()));
             ("broken off", false)
@@ -587,7 +589,7 @@
         let ms = task.arrived.elapsed().as_millis() as u64;
         let (prompt, session, shared) = (task.ask.prompt_tokens, &task.ask.session, &task.ask.shared);
         let (session, shared) = (session.as_deref().unwrap_or(""), shared.as_deref().unwrap_or(""));
-        tracing::debug!(id = task.id, answer, ms, prompt, session, shared, "task ended");
+        tracing::debug!(id = task.call.id, answer, ms, prompt, session, shared, "task ended");
         keeps
     }
 
--- a/crates/node/src/shot.rs
+++ b/crates/node/src/shot.rs
@@ -145,7 +145,7 @@
                 let outcome = self.seen(outcome);
                 self.note(&way, outcome, sent, 0);
                 // It may have been read all the same, and then a state waits there.
-                let state = (self.reads && !outcome.never_ran()).then(|| self.task.id.clone());
+                let state = (self.reads && !outcome.never_ran()).then(|| self.task.call.id.clone());
                 closing.close(outcome, End { state, host: self.host, ..End::default() });
             }
             Ok(Done::Begins(begins)) => {
@@ -168,7 +168,7 @@
             way.answers(it_does);
         }
         let (ms, after) = (sent.elapsed().as_millis() as u64, (sent - self.task.arrived).as_millis() as u64);
-        let (id, host) = (&self.task.id, &way.name);
+        let (id, host) = (&self.task.call.id, &way.name);
         tracing::debug!(id, shot = self.number, host, reads = self.reads, ?outcome, after, ms, kept, "shot");
     }
 
@@ -206,7 +206,7 @@
         let task = &self.task;
         let request = {
             let Some(body) = task.body() else { return Err(Outcome::Moot) };
-            host::request(&task.target, &task.host, &task.id, left(self.until), &body)
+            host::request(&task.call, left(self.until), &body)
         };
         if self.client_is_gone() || left(self.begin_by).is_zero() {
             return Err(Outcome::Moot);
@@ -235,7 +235,7 @@
                 let body = reply.whole_body(self.until).map_err(unanswered)?;
                 give_back(&self.shared, way, reply);
                 let Some(kept_tokens) = host::kept(&body) else { return Err(Outcome::Error) };
-                let state = Some(task.id.clone());
+                let state = Some(task.call.id.clone());
                 let (prompt_tokens, host) = (task.ask.prompt_tokens, self.host);
                 let end = End { kept_tokens, prompt_tokens, state, host, ..End::default() };
                 Ok(Done::Ended(Outcome::Read, end))
--- a/crates/node/src/task.rs
+++ b/crates/node/src/task.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 use tulipstall_core::{Ask, TaskId};
 use tulipstall_net::Link;
+use tulipstall_platform::host::Passed;
 
 /// Nobody has answered yet.
 const OPEN: u32 = 0;
@@ -17,10 +18,8 @@
 const SHOT: u32 = 2;
 
 pub struct Task {
-    pub id: String,
     /// What is passed on to hosts as it came.
-    pub target: String,
-    pub host: String,
+    pub call: Passed,
     /// Until an answer has begun.
     body: Mutex<Option<Arc<Vec<u8>>>>,
     pub ask: Ask,
@@ -34,15 +33,14 @@
 
 impl Task {
     pub fn new(
-        (id, ask): (String, Ask),
-        target: String,
-        host: String,
+        call: Passed,
+        ask: Ask,
         body: Vec<u8>,
         (client, inbox): (Weak<Client>, Sender<Message>),
     ) -> Self {
         let body = Mutex::new(Some(Arc::new(body)));
         let (place, answer) = (AtomicU64::new(u64::MAX), AtomicU32::new(OPEN));
-        Task { id, target, host, body, ask, arrived: Instant::now(), client, inbox, place, answer }
+        Task { call, body, ask, arrived: Instant::now(), client, inbox, place, answer }
     }
 
     pub fn set_place(&self, id: TaskId) {
@@ -138,8 +136,8 @@
         for (claims, prompt) in
             [([close, first, second], true), ([second, first, close], false), ([first, close, second], false)]
         {
-            let ask = ("a".to_owned(), Ask::default());
-            let task = Task::new(ask, "/".to_owned(), "x".to_owned(), vec![1], (Weak::new(), channel().0));
+            let (call, ask) = (Passed::default(), Ask::default());
+            let task = Task::new(call, ask, vec![1], (Weak::new(), channel().0));
             assert_eq!(claims.map(|claim| claim(&task)), [true, false, false]);
             assert_eq!(task.body().is_some(), prompt);
         }
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -427,3 +427,26 @@
     assert!(took.is_some_and(|took| took < ms(1000)), "let go of after {took:?}");
     drop(Arc::new(node));
 }
+
+/// A key by which hosts know repeats goes with every attempt as it came, to readers and writers alike; two are none.
+#[test]
+fn a_key_goes_with_every_attempt() {
+    let p = platform(256);
+    let address = p.node.address();
+    for (i, key) in
+        [Some("55eea92578f58952cd886e01772b8d3e"), Some("\"a b; c\""), None].into_iter().enumerate()
+    {
+        p.w1.does(&[Does::Breaks]);
+        let id = format!("keyed{i}");
+        let more = key.map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
+        let answer = ask(address, &call(&id, &(more + CLOSE)));
+        assert!(whole(&answer, &id), "{answer}");
+        for (hosts, attempts) in [(&[&p.r1][..], 1), (&[&p.w1, &p.w2], 2)] {
+            let seen = hosts.iter().flat_map(|host| host.seen.lock().expect("no panic").keys.clone());
+            let keys: Vec<_> = seen.filter(|(by, _)| *by == id).map(|(_, key)| key).collect();
+            assert!(keys.len() >= attempts && keys.iter().all(|seen| seen.as_deref() == key), "{id}: {keys:?}");
+        }
+    }
+    let two = call("two", "Idempotency-Key: a\r\nIdempotency-Key: b\r\n");
+    assert!(ask(address, &two).starts_with("HTTP/1.1 400"));
+}
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -35,6 +35,8 @@
     Long(usize),
     /// The second event comes so many milliseconds later.
     Pauses(u64),
+    /// A good answer, so many milliseconds later.
+    Late(u64),
     /// So many events, so many milliseconds apart, each with the microseconds of its writing, in pieces, or two at once.
     Timed(usize, u64, Wrote),
 }
@@ -59,6 +61,8 @@
 pub struct Seen {
     /// Method and path, id, when.
     pub calls: Vec<(String, String, Instant)>,
+    /// By id, the marks by which a host would know a repeat.
+    pub keys: Vec<(String, Option<String>)>,
 }
 
 /// What those who share it do with their next calls.
@@ -140,7 +144,11 @@
             }
             let call = format!("{} {}", head.method, head.target);
             let id = head.text("x-txn").unwrap_or_default().to_owned();
-            seen.lock().expect("no panic").calls.push((call.clone(), id.clone(), Instant::now()));
+            {
+                let mut seen = seen.lock().expect("no panic");
+                seen.calls.push((call.clone(), id.clone(), Instant::now()));
+                seen.keys.push((id.clone(), head.text("idempotency-key").map(str::to_owned)));
+            }
             if std::mem::replace(&mut used, true) && forgets.load(Ordering::SeqCst) {
                 return;
             }
@@ -201,6 +209,10 @@
                     }
                     sent.and_then(|()| stream.write_all(DONE.as_bytes()))
                 }
+                Some(Does::Late(ms)) => {
+                    thread::sleep(Duration::from_millis(ms));
+                    stream.write_all(good.as_bytes())
+                }
                 Some(Does::Silent) => Ok(()),
                 Some(Does::Long(events)) => {
                     stream.write_all(format!("{half}{}{DONE}", event("more").repeat(events)).as_bytes())
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -14,6 +14,8 @@
 
 pub const ID: &str = "x-txn";
 pub const LEFT: &str = "x-remaining-ms";
+/// By which hosts know repeats of a request of a keyed class (draft-ietf-httpapi-idempotency-key-header).
+pub const KEY: &str = "idempotency-key";
 const OFFERING: &str = "x-lane";
 const CUSTOMER: &str = "x-org";
 const SESSION: &str = "x-entity";
@@ -65,6 +67,8 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
+    /// Passed on with every attempt as it came.
+    pub key: Option<String>,
     pub ask: Ask,
 }
 
@@ -152,5 +156,5 @@
         again: one(head, RESENT)?.is_some(),
         ..Ask::default()
     };
-    Ok(Call { id: id.to_owned(), ask })
+    Ok(Call { id: id.to_owned(), key: one(head, KEY)?.map(str::to_owned), ask })
 }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -1,6 +1,6 @@
 //! What hosts are asked and what they answer.
 
-use crate::call::{ID, LEFT};
+use crate::call::{ID, KEY, LEFT};
 use serde::Deserialize;
 use std::fmt::Write;
 use std::time::Duration;
@@ -15,17 +15,31 @@
 /// An event of a stream: some tokens' text, or the figures.
 const EVENT: usize = 16 << 10;
 
+/// A client's call as it is passed on to hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Passed {
+    pub target: String,
+    pub host: String,
+    pub id: String,
+    pub key: Option<String>,
+}
+
 /// The same call to a host, with the time that it is waited for.
-pub fn request(target: &str, host: &str, id: &str, left: Duration, body: &[u8]) -> Vec<u8> {
+pub fn request(call: &Passed, left: Duration, body: &[u8]) -> Vec<u8> {
+    let Passed { target, host, id, key } = call;
     let mut head = String::with_capacity(256);
     // Writing to a string cannot fail.
     let _ = write!(
         head,
         "POST {target} HTTP/1.1\r\nHost: {host}\r\n{ID}: {id}\r\n{LEFT}: {}\r\nContent-Type: application/json\r\n\
-         Content-Length: {}\r\n\r\n",
+         Content-Length: {}\r\n",
         left.as_millis(),
         body.len()
     );
+    if let Some(key) = key {
+        let _ = write!(head, "{KEY}: {key}\r\n");
+    }
+    head.push_str("\r\n");
     let mut request = head.into_bytes();
     request.extend_from_slice(body);
     request
