--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -228,7 +228,13 @@
     /// writes before it looks. Holds against bytes that come in that very moment and are read, though nobody can be
     /// answered any more.
     fn shut_if_due(&self, now: u64) {
+        self.shut_if_still_due(now, || {});
+    }
+
+    /// With what happens between its two looks.
+    fn shut_if_still_due(&self, now: u64, between: impl FnOnce()) {
         if self.is_due(now) && !self.late.swap(true, Ordering::SeqCst) {
+            between();
             if self.is_due(now) {
                 self.shut();
             } else {
@@ -252,14 +258,19 @@
 
 impl Link {
     pub fn new(stream: TcpStream) -> io::Result<Self> {
+        let link = Self::unwatched(stream)?;
+        watch::add(&link.inner);
+        Ok(link)
+    }
+
+    /// Its moments are nobody's yet.
+    fn unwatched(stream: TcpStream) -> io::Result<Self> {
         // A delta is small and wanted at once; where it fails the link still works.
         let _ = stream.set_nodelay(true);
         let (read_by, write_by) = (AtomicU64::new(NEVER), AtomicU64::new(NEVER));
         let (stream, second) = (Waited::new(stream)?, OnceLock::new());
         let (shut, late) = (AtomicBool::new(false), AtomicBool::new(false));
-        let inner = Arc::new(Inner { stream, shut, second, read_by, write_by, late });
-        watch::add(&inner);
-        Ok(Link { inner })
+        Ok(Link { inner: Arc::new(Inner { stream, shut, second, read_by, write_by, late }) })
     }
 
     /// Connects to an address.
@@ -581,3 +592,6 @@
         Ok(out)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -444,7 +444,10 @@
         for (hosts, attempts) in [(&[&p.r1][..], 1), (&[&p.w1, &p.w2], 2)] {
             let seen = hosts.iter().flat_map(|host| host.seen.lock().expect("no panic").keys.clone());
             let keys: Vec<_> = seen.filter(|(by, _)| *by == id).map(|(_, key)| key).collect();
-            assert!(keys.len() >= attempts && keys.iter().all(|seen| seen.as_deref() == key), "{id}: {keys:?}");
+            assert!(
+                keys.len() >= attempts && keys.iter().all(|seen| seen.as_deref() == key),
+                "{id}: {keys:?}"
+            );
         }
     }
     let two = call("two", "Idempotency-Key: a\r\nIdempotency-Key: b\r\n");
