Ask a registry that refuses or answers late less and less, and resume from what is known

Each failure led to the whole list, a tenth of a second later, and to a watch behind it: two new calls where one does (registry::start, follow). Ruled out by trials: asking less often once refused (ends the watch that goes on for free), and a first watch of 0.1 s (is none). Now a new watch begins from the version that is known, also at start; refusals double the pause, by chance; questions that are given up double the patience of the next. Pushed lists are asked for as before.

--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -103,6 +103,11 @@
         Hosts { ways: Mutex::default(), zones, here, chance, idle_for }
     }
 
+    /// A part of one, by chance.
+    pub fn chance(&self) -> f64 {
+        f64::from(lock(&self.chance).next_u32()) / f64::from(u32::MAX)
+    }
+
     pub fn way(&self, name: &str) -> Option<Arc<Way>> {
         lock(&self.ways).get(name).cloned()
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -156,7 +156,8 @@
         if let Some(known) = &start.known {
             shared.hosts.apply(&shared, known, true);
         }
-        registry::start(shared.clone(), Patience::told(&start.terms));
+        let known = start.known.as_ref().map(|list| list.seq);
+        registry::start(shared.clone(), Patience::told(&start.terms), known);
         front::start(shared.clone(), listener.clone());
         let zone = start.terms.text("zone").unwrap_or_default();
         tracing::info!(name = start.name, %address, sockets = start.limits.sockets, zone, "runs");
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -19,26 +19,56 @@
     /// The last try failed.
     silent: bool,
     versions: Versions,
+    /// The version that the hosts are as of, while it is this registry's.
+    seq: Option<u64>,
+    /// Calls in a row that were refused, and first calls that were given up.
+    refused: u32,
+    unheard: u32,
 }
 
-pub fn start(shared: Arc<Shared>, patience: Patience) {
+/// Why a call came to nothing.
+enum Failed {
+    Fault(Fault),
+    /// It has too much to do: an answer for whoever comes later.
+    Refused,
+}
+
+impl From<Fault> for Failed {
+    fn from(fault: Fault) -> Self {
+        Failed::Fault(fault)
+    }
+}
+
+/// As of a list that was known before, if any.
+pub fn start(shared: Arc<Shared>, patience: Patience, known: Option<u64>) {
     spawn(move || {
-        let mut known = Seen::default();
+        let mut known = Seen { seq: known, ..Seen::default() };
         loop {
             let address = lock(&shared.registry).0;
             // Whatever a list does to whoever reads it, the next one is asked for.
             let followed = AssertUnwindSafe(|| follow(&shared, address, &patience, &mut known));
-            if let Err(fault) = catch_unwind(followed).unwrap_or(Err(Fault::Rubbish)) {
+            let followed = catch_unwind(followed).unwrap_or(Err(Failed::Fault(Fault::Rubbish)));
+            let mut pause = patience.pause;
+            if let Err(failed) = followed {
+                let why = match failed {
+                    Failed::Fault(fault) => format!("{fault:?}"),
+                    Failed::Refused => "it refuses".to_owned(),
+                };
+                if matches!(failed, Failed::Refused) {
+                    pause = patience.after_refusal(known.refused, shared.hosts.chance());
+                    known.refused += 1;
+                }
                 // Many a second while it is away: one line.
                 if !std::mem::replace(&mut known.silent, true) {
-                    tracing::warn!(registry = %address, ?fault, "the registry does not answer");
+                    tracing::warn!(registry = %address, why, "the registry does not answer");
                 }
             }
             if lock(&shared.registry).0 == address {
-                tulipstall_net::sleep(patience.pause);
-            } else {
+                tulipstall_net::sleep(pause);
+            }
+            if lock(&shared.registry).0 != address {
                 // Another registry counts by itself.
-                known.versions = Versions::default();
+                known = Seen { silent: known.silent, ..Seen::default() };
             }
         }
     });
@@ -56,14 +86,17 @@
 }
 
 /// Asks; an answer that has not begun within so long does not come.
-fn ask(link: &mut Option<Link>, question: &str, within: Duration, whole: Duration) -> Result<List, Fault> {
+fn ask(link: &mut Option<Link>, question: &str, within: Duration, whole: Duration) -> Result<List, Failed> {
     let (link_now, until) = (link.take().ok_or(Fault::Broken)?, Instant::now() + within);
     link_now.write(question.as_bytes(), until)?;
     let mut reply = Reply::new(link_now, ANSWER);
     let head = reply.head_begun(until, whole)?;
+    if matches!(head.status, 429 | 503) {
+        return Err(Failed::Refused);
+    }
     let body = reply.whole_body(Instant::now() + whole)?;
     if head.status != 200 {
-        return Err(Fault::Rubbish);
+        return Err(Fault::Rubbish.into());
     }
     let list = read(&body).map_err(|why| {
         tracing::warn!(why, "a list is not taken");
@@ -76,10 +109,10 @@
 }
 
 /// Until something fails or the registry is elsewhere.
-fn follow(shared: &Shared, address: SocketAddr, patience: &Patience, known: &mut Seen) -> Result<(), Fault> {
+fn follow(shared: &Shared, address: SocketAddr, patience: &Patience, known: &mut Seen) -> Result<(), Failed> {
     let mut link = None;
     let mut seen = None;
-    let first = Instant::now() + patience.at_once;
+    let first = Instant::now() + patience.after_silence(known.unheard);
     loop {
         if link.is_none() {
             let new = Link::connect(&address, shared.connect.min(patience.at_once))?;
@@ -90,35 +123,46 @@
             registry.1 = Some(new.clone());
             link = Some(new);
         }
+        // A failure leads to the whole list, but where that is dear to what has changed.
+        let resumes = patience.resumes.zip(known.seq).map(|(wait, seq)| (seq, wait));
+        let at_once = first.saturating_duration_since(Instant::now());
         let (newer_than, within) = match seen {
-            None => (None, first.saturating_duration_since(Instant::now())),
+            None => (resumes, at_once + resumes.map_or(Duration::ZERO, |(_, wait)| wait)),
             Some(seq) => (Some((seq, patience.wait)), patience.wait + patience.late),
         };
         let list = match ask(&mut link, &question(address, newer_than), within, patience.whole) {
             Ok(list) => list,
             Err(_) if lock(&shared.registry).0 != address => return Ok(()),
-            Err(fault) => return Err(fault),
+            Err(failed) => {
+                known.unheard +=
+                    u32::from(seen.is_none() && matches!(failed, Failed::Fault(Fault::TimedOut)));
+                return Err(failed);
+            }
         };
+        // What changed since a version says nothing to any other: the whole list is asked for next, unless this goes well.
+        let as_of = newer_than.map(|(seq, _)| seq);
+        known.seq = None;
         if !known.versions.takes(shared.now(), list.seq) {
             tracing::warn!(seq = list.seq, "a list older than one before only closes hosts");
             let closed = |line: &Line| line.standing() != Standing::Running;
             let hosts = list.hosts.into_iter().filter(closed).collect();
             shared.hosts.apply(shared, &List { hosts, ..list }, false);
-            return Err(Fault::Rubbish);
+            return Err(Fault::Rubbish.into());
         }
-        if seen.is_some_and(|seen| list.seq < seen) && !list.whole {
+        if as_of.is_some_and(|as_of| list.seq < as_of) && !list.whole {
             // Begun anew: what changed since says nothing to what was before.
-            return Err(Fault::Rubbish);
+            return Err(Fault::Rubbish.into());
         }
         if std::mem::take(&mut known.silent) {
             tracing::info!(registry = %address, "the registry answers again");
         }
-        let whole = list.whole || seen.is_none();
+        let whole = list.whole || as_of.is_none();
         // Nothing new: the wait was over.
         if whole || !list.hosts.is_empty() {
             shared.hosts.apply(shared, &list, whole);
         }
-        seen = Some(list.seq);
+        (seen, known.seq) = (Some(list.seq), Some(list.seq));
+        (known.refused, known.unheard) = (0, 0);
         shared.listed.store(true, Ordering::Release);
     }
 }
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -5,6 +5,7 @@
 use platform::*;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -453,3 +454,59 @@
     let two = call("two", "Idempotency-Key: a\r\nIdempotency-Key: b\r\n");
     assert!(ask(address, &two).starts_with("HTTP/1.1 400"));
 }
+
+/// Processes that all lose a registry which takes few new calls at once, where lists are asked for: none is refused for
+/// long, as whoever is refused or not heard presses less and less, and what drains then is heard by all.
+#[test]
+fn a_registry_that_refuses_is_not_pressed_until_it_refuses_all() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    const PROCESSES: usize = 24;
+    const TAKES: usize = 12;
+    let script = Script::default();
+    let (r1, w1, w2) = (Host::start("r1", &script), Host::start("w1", &script), Host::start("w2", &script));
+    let registry = Registry::start(&[&r1, &w1, &w2]);
+    let known = format!(
+        "\"known\":{{\"seq\":1,\"whole\":true,\"hosts\":[{}]}},\"settings\":{{",
+        [&r1, &w1, &w2].map(|host| line(host, "active")).join(",")
+    );
+    let nodes: Vec<_> = (0..PROCESSES)
+        .map(|me| {
+            let told = config(&registry, 4096, PROCESSES)
+                .replace("8c1f30d27a5be964", &format!("{:016x}", me * 77 + 5));
+            let told = told.replace("\"settings\":{", &format!("{known}\"RegistryMode\":\"on_request\","));
+            tulipstall_node::Node::start(
+                &tulipstall_platform::start::Start::read(&told).expect("a configuration"),
+            )
+            .expect("a node")
+        })
+        .collect();
+    thread::sleep(ms(1500));
+    // All watches end at once, and what follows is bounded.
+    registry.takes.store(TAKES, Ordering::SeqCst);
+    registry.new_calls.lock().expect("no panic").clear();
+    registry.script.lock().expect("no panic").extend([Fails::Resets; PROCESSES]);
+    let lost = Instant::now();
+    thread::sleep(ms(8000));
+    let calls = registry.new_calls.lock().expect("no panic").clone();
+    let taken = calls.iter().filter(|(_, taken)| *taken).count();
+    let refused = calls.len() - taken;
+    println!("{} calls taken, {} refused in 8 s", taken, refused);
+    assert!(taken >= PROCESSES && calls.len() < 6 * PROCESSES, "{} taken, {} refused", taken, refused);
+    // Whoever was refused is heard of again: nothing is asked anew any more.
+    registry.tell(line(&w1, "leaving"));
+    thread::sleep(ms(300));
+    for (me, node) in nodes.iter().enumerate() {
+        for i in 0..8 {
+            let id = format!("heard{me}x{i}");
+            assert!(whole(&ask(node.address(), &call(&id, CLOSE)), &id), "{id}");
+        }
+    }
+    let late =
+        w1.calls().into_iter().filter(|(call, id, _)| call.starts_with("POST") && id.starts_with("heard"));
+    assert_eq!(
+        late.count(),
+        0,
+        "sent to a host that drains, {:?} after the watches were lost",
+        lost.elapsed()
+    );
+}
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -260,6 +260,11 @@
     pub state: Arc<(Mutex<Vec<String>>, Condvar)>,
     /// What becomes of its next answers.
     pub script: Arc<Mutex<VecDeque<Fails>>>,
+    /// New calls that it takes in any second, where it is bounded: a call more is refused, and counts all the same. Those
+    /// that go on with a watch are no new ones.
+    pub takes: Arc<AtomicUsize>,
+    /// When each new call came, and whether it was taken.
+    pub new_calls: Arc<Mutex<Vec<(Instant, bool)>>>,
 }
 
 impl Registry {
@@ -269,6 +274,8 @@
             address: listener.local_addr().expect("an address"),
             down: Arc::default(),
             script: Arc::default(),
+            takes: Arc::new(AtomicUsize::new(usize::MAX)),
+            new_calls: Arc::default(),
             state: Arc::new((
                 Mutex::new(vec![hosts.iter().map(|h| line(h, "active")).collect::<Vec<_>>().join(",")]),
                 Condvar::new(),
@@ -284,14 +291,31 @@
         registry
     }
 
+    /// Whether a new call is taken.
+    fn is_taken(&self) -> bool {
+        let now = Instant::now();
+        let mut calls = self.new_calls.lock().expect("no panic");
+        let of_late = calls.iter().rev().take_while(|(at, _)| now - *at < Duration::from_secs(1)).count();
+        let taken = of_late < self.takes.load(Ordering::SeqCst);
+        calls.push((now, taken));
+        taken
+    }
+
     pub fn serve(&self, mut stream: TcpStream) {
         let mut reader = RequestReader::new(Limits::default());
         let mut buffer = [0; 4096];
+        let mut watched: Option<Instant> = None;
         loop {
             match reader.poll() {
                 Ok(Step::Request(head, _)) => {
                     let after = head.target.split("index=").nth(1).and_then(|rest| rest.split('&').next());
                     let after: Option<usize> = after.and_then(|text| text.parse().ok());
+                    let goes_on = watched.is_some_and(|at| at.elapsed() < Duration::from_millis(200));
+                    if !goes_on && !self.is_taken() {
+                        let refusal = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                        let _ = stream.write_all(refusal.as_bytes());
+                        return;
+                    }
                     let (versions, changed) = &*self.state;
                     let mut versions = versions.lock().expect("no panic");
                     let body = match after {
@@ -339,6 +363,7 @@
                     if stream.write_all(&text).is_err() {
                         return;
                     }
+                    watched = after.map(|_| Instant::now());
                 }
                 Ok(_) => match stream.read(&mut buffer) {
                     Ok(got) if got > 0 => reader.feed(&buffer[..got]),
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -25,6 +25,11 @@
     pub whole: Duration,
     /// Between two tries: inside the 200 ms that a watch may pause.
     pub pause: Duration,
+    /// How long such a pause grows at most while the registry refuses calls.
+    pub refused: Duration,
+    /// For how long the first call of a new watch waits, where it is one from what is known already: what is newer comes at
+    /// once, the calls that follow go on with the watch, and the registry is asked once for all of it.
+    pub resumes: Option<Duration>,
 }
 
 /// How long what is newer than the last good answer may go unheard while the registry can be reached: the platform
@@ -49,13 +54,28 @@
                 at_once: ms(700),
                 whole: ms(500),
                 pause: ms(100),
+                refused: ms(6000),
+                resumes: Some(ms(1000)),
             };
         }
         // Two fifths and a fifth: the rest is for a busy dispatcher to read the list. No less than round trips take.
         let grace = terms.span("rules.drain_grace_us").unwrap_or(ms(250));
         let at_once = (grace * 2 / 5).clamp(ms(20), ms(400));
         let pause = (grace / 5).clamp(ms(10), ms(100));
-        Patience { wait: ms(1000), late: ms(500), at_once, whole: ms(500), pause }
+        let (wait, late, whole) = (ms(1000), ms(500), ms(500));
+        Patience { wait, late, at_once, whole, pause, refused: pause, resumes: None }
+    }
+
+    /// When the answer to a question has to begin after so many in a row that were given up: a registry with much to do
+    /// takes longer, and each question given up is more to do.
+    pub fn after_silence(&self, times: u32) -> Duration {
+        (self.at_once * 2_u32.saturating_pow(times.min(8))).min(self.at_once.max(self.refused / 2))
+    }
+
+    /// How long to wait after so many calls in a row that were refused: twice as long each time, and by chance, as all who
+    /// were refused at once would else come at once again, and hundreds that press keep a registry refusing.
+    pub fn after_refusal(&self, times: u32, chance: f64) -> Duration {
+        (self.pause * 2_u32.saturating_pow(times.min(8) + 2)).min(self.refused).mul_f64(0.5 + chance)
     }
 }
 
