--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -419,7 +419,7 @@
 
 impl Drop for InHand<'_> {
     fn drop(&mut self) {
-        lock(&self.shared.ids).remove(&self.id);
+        lock(&self.shared.ids).ends(self.shared.now(), std::mem::take(&mut self.id));
         self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
     }
 }
@@ -554,18 +554,20 @@
         if self.client.gone() {
             return false;
         }
-        if shared.refuses.load(Ordering::SeqCst) {
-            return self.refuse_stopping();
-        }
         let call = match call::read(head, &body, &shared.names) {
             Ok(call) => call,
             Err(Refused { status, why }) => return self.say(status, why, false, None),
         };
-        if !lock(&shared.ids).insert(call.id.clone()) {
+        if !lock(&shared.ids).take(shared.now(), &call.id) {
             return self.say(409, "the id is in use", false, None);
         }
         shared.in_hand.fetch_add(1, Ordering::SeqCst);
         let in_hand = InHand { shared: &shared, id: call.id.clone() };
+        // Behind the look at its id: of one that is in hand nobody may say that asking again is harmless.
+        if shared.refuses.load(Ordering::SeqCst) {
+            drop(in_hand);
+            return self.refuse_stopping();
+        }
         if shared.in_hand.load(Ordering::SeqCst) > shared.room.tasks() {
             drop(in_hand);
             let come_back = shared.advice(Duration::from_millis(300));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,7 +16,6 @@
 use owner::Post;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -27,6 +26,7 @@
 use tulipstall_core::Core;
 use tulipstall_net::{Link, Listener};
 use tulipstall_platform::call::Names;
+use tulipstall_platform::ids::Ids;
 use tulipstall_platform::kept::Kept;
 use tulipstall_platform::registry::Patience;
 use tulipstall_platform::room::Room;
@@ -69,7 +69,7 @@
     /// Tasks that the decisions still have, and states that hosts are to let go of.
     unsettled: AtomicUsize,
     /// Their ids: one that is in hand is no other client's to use.
-    ids: Mutex<HashSet<String>>,
+    ids: Mutex<Ids>,
     clients: front::Clients,
     /// What became of kept connections that were used again; held for moments only.
     kept: Mutex<Kept>,
@@ -99,6 +99,9 @@
 /// Posts that may wait for the owner: some for each task that there is room for.
 const POSTS: usize = 4096;
 
+/// How long ids of ended requests are kept at most, where settings let clients wait for longer.
+const KEEPS: Duration = Duration::from_secs(60);
+
 /// How long a stopping dispatcher still takes what comes: the platform's front sends new connections for 0.2 to 0.4 s.
 const STILL_TAKES: Duration = Duration::from_millis(450);
 
@@ -126,8 +129,11 @@
         let span = |name: &str, usual: Duration| start.terms.span(name).unwrap_or(usual);
         // Past half of the time after which hosts close idle connections a request could cross that.
         let idle_for = span("allowed.keepalive_us", Duration::from_secs(10)) / 2;
+        let names = Names::new(&start.terms);
+        // What was sent for one may run for as long as its client would have waited.
+        let keeps = names.longest().min(KEEPS);
         let shared = Arc::new(Shared {
-            names: Names::new(&start.terms),
+            names,
             start: Instant::now(),
             posts: Posts { sender, room: Arc::new(Semphore::new(POSTS)) },
             hosts: Hosts::new(idle_for, start.seed, start.terms.text("zone")),
@@ -143,7 +149,7 @@
                 .then(|| span("allowed.max_come_back_us", Duration::ZERO)),
             in_hand: AtomicUsize::new(0),
             unsettled: AtomicUsize::new(0),
-            ids: Mutex::default(),
+            ids: Mutex::new(Ids::new(keeps)),
             clients: front::Clients::default(),
             kept: Mutex::default(),
             registry: Mutex::new((start.discovery, None)),
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -510,3 +510,50 @@
         lost.elapsed()
     );
 }
+
+/// An id that somebody else's request has, or had: what may have run for it is not sent again, nor is it said that asking
+/// again is harmless, also while the process stops.
+#[test]
+fn nobody_else_asks_by_an_id_that_was_taken() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    for stops in [false, true] {
+        let script = Script::default();
+        let (r1, w1) = (Host::start("r1", &Script::default()), Host::start("w1", &script));
+        let registry = Registry::start(&[&r1, &w1]);
+        let told =
+            config(&registry, 256, 1).replace("\"Idempotency\":\"pure\"", "\"Idempotency\":\"side_effect\"");
+        let node = Arc::new(node_with(&told));
+        let address = node.address();
+        let posts =
+            || w1.calls().iter().filter(|(call, id, _)| call.starts_with("POST") && id == "taken").count();
+        // Its writer has it and says nothing; another asks by its id, over a connection that is there already.
+        script.lock().expect("no panic").push_back(Does::Silent);
+        let mut first = connect(address);
+        first.write_all(call("taken", "").as_bytes()).expect("a call");
+        let text = call("taken", CLOSE);
+        let mut other = connect(address);
+        other.write_all(&text.as_bytes()[..40]).expect("a part");
+        thread::sleep(ms(100));
+        assert_eq!(posts(), 1);
+        let about = node.clone();
+        let stopping = stops.then(|| thread::spawn(move || about.stop()));
+        thread::sleep(ms(if stops { 700 } else { 50 }));
+        other.write_all(&text.as_bytes()[40..]).expect("the rest");
+        let (answer, _) = rest(&mut other);
+        assert!(answer.starts_with("HTTP/1.1 409"), "in hand, stops {stops}: {answer}");
+        if !stops {
+            // Its client has left; its writer may still be at it.
+            drop(first);
+            thread::sleep(ms(200));
+            let answer = ask(address, &text);
+            assert!(answer.starts_with("HTTP/1.1 409"), "left: {answer}");
+            // One that was answered whole.
+            assert!(whole(&ask(address, &call("ended", CLOSE)), "ended"));
+            assert!(ask(address, &call("ended", CLOSE)).starts_with("HTTP/1.1 409"));
+        }
+        assert_eq!(posts(), 1, "stops {stops}");
+        if let Some(stopping) = stopping {
+            stopping.join().expect("no panic");
+        }
+    }
+}
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -64,6 +64,13 @@
     }
 }
 
+impl Names {
+    /// The longest that any request may wait.
+    pub fn longest(&self) -> Duration {
+        self.offerings.iter().map(|(_, stop)| *stop).max().unwrap_or_default()
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod call;
 pub mod host;
+pub mod ids;
 pub mod kept;
 pub mod letting_go;
 pub mod patience;
