--- a/crates/node/tests/acceptance.rs
+++ b/crates/node/tests/acceptance.rs
@@ -294,8 +294,9 @@
 #[test]
 fn an_answer_is_not_cut_off_by_what_its_client_sent_beyond() {
     let p = platform(256);
-    let text = call("last", CLOSE) + &"x".repeat(20_000);
-    for _ in 0..10 {
+    for i in 0..10 {
+        // A new id each time: one that was taken is nobody's any more.
+        let text = call(&format!("last{i}"), CLOSE) + &"x".repeat(20_000);
         p.w1.does(&[Does::Long(2500)]);
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         // What does not fit here waits at the dispatcher's socket.
