--- /dev/null
+++ b/crates/cli/tests/held_states.rs
@@ -0,0 +1,173 @@
+//! The program with a fault proxy before each host: what readers hold for a request is taken by a writer or released in
+//! the stated time, whatever becomes of the bytes that were written.
+
+#[path = "../../node/tests/platform/mod.rs"]
+mod platform;
+
+mod running;
+
+use platform::proxy::{Fault, Proxy};
+use platform::*;
+use running::{Running, ms};
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The stated time of the settings, with what the operators add to it.
+const RELEASE: Duration = Duration::from_millis(1300);
+
+const READERS: [&str; 2] = ["r1", "r2"];
+const WRITERS: [&str; 4] = ["w1", "w2", "w3", "w4"];
+
+/// How late an answer may be before its request counts as lost.
+const LATE: Duration = Duration::from_millis(500);
+
+/// Requests under each fault.
+const REQUESTS: usize = 60;
+
+/// A program in service with a proxy before each of its hosts.
+struct Fleet {
+    running: Running,
+    hosts: Vec<(Host, Proxy)>,
+    _registry: Registry,
+}
+
+impl Fleet {
+    fn start(name: &str, idempotency: &str, writers: &Script) -> Fleet {
+        let reads = Script::default();
+        let behind_proxy = |name: &'static str| {
+            let mut host = Host::start(name, if name.starts_with('r') { &reads } else { writers });
+            let proxy = Proxy::start(host.address);
+            host.address = proxy.address;
+            (host, proxy)
+        };
+        let hosts: Vec<(Host, Proxy)> = READERS.into_iter().chain(WRITERS).map(behind_proxy).collect();
+        let registry = Registry::start(&hosts.iter().map(|(host, _)| host).collect::<Vec<_>>());
+        let settings = |told: &str| told.replace("\"Idempotency\":\"pure\"", idempotency);
+        let running = Running::start_with(name, &registry, 512, settings).ready();
+        Fleet { running, hosts, _registry: registry }
+    }
+
+    /// Sends requests side by side; how many were answered whole, and how many at all.
+    fn send(&self, name: &str, requests: usize, left_ms: u64) -> Answers {
+        let address = self.running.address;
+        let asks: Vec<_> = (0..requests)
+            .map(|i| {
+                let id = format!("{name}{i:03}");
+                let left = format!("Remaining-Ms: {left_ms}");
+                let call = call(&id, "Connection: close\r\n").replace("Remaining-Ms: 2500", &left);
+                // Over some hundred milliseconds, as clients of their own would.
+                thread::sleep(ms(4));
+                thread::spawn(move || {
+                    let from = Instant::now();
+                    (ask(address, &call), id, from.elapsed())
+                })
+            })
+            .collect();
+        let mut answers = Answers::default();
+        for ask in asks {
+            let (answer, id, took) = ask.join().expect("no panic");
+            answers.whole += usize::from(whole(&answer, &id));
+            answers.given += usize::from(answer.starts_with("HTTP/1.1") && took <= ms(left_ms) + LATE);
+        }
+        answers
+    }
+
+    /// All hosts named so, under a fault from now on.
+    fn fault(&self, names: &[&str], fault: Fault) {
+        let named = self.hosts.iter().filter(|(host, _)| names.contains(&host.name));
+        named.for_each(|(_, proxy)| proxy.set(fault));
+    }
+
+    /// For each request named so, what reached a running host, in order of time: method, host, when.
+    fn arrivals(&self, name: &str) -> BTreeMap<String, Vec<(Arrival, Instant)>> {
+        let mut arrivals: BTreeMap<String, Vec<(Arrival, Instant)>> = BTreeMap::new();
+        for (host, _) in &self.hosts {
+            for (call, id, at) in host.calls() {
+                let id = call.rsplit_once("reservations/").map_or(id, |(_, id)| id.to_owned());
+                let arrival = match (call.starts_with("DELETE"), host.name.starts_with('r')) {
+                    (true, _) => Arrival::Release,
+                    (false, true) => Arrival::Read,
+                    (false, false) => Arrival::Write,
+                };
+                if id.starts_with(name) {
+                    arrivals.entry(id).or_default().push((arrival, at));
+                }
+            }
+        }
+        arrivals.values_mut().for_each(|arrivals| arrivals.sort_by_key(|(_, at)| *at));
+        arrivals
+    }
+
+    /// Requests whose state was held for longer than is allowed, and the longest span of any.
+    fn overdue(&self, name: &str) -> (usize, Duration) {
+        let now = Instant::now();
+        let spans = self.arrivals(name).into_values().map(|arrivals| longest_held(&arrivals, now));
+        let spans: Vec<Duration> = spans.collect();
+        (spans.iter().filter(|span| **span > RELEASE).count(), spans.into_iter().max().unwrap_or_default())
+    }
+}
+
+#[derive(Debug, Default)]
+struct Answers {
+    whole: usize,
+    given: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Arrival {
+    Read,
+    Write,
+    Release,
+}
+
+/// From each read to what takes its state or releases it. A further read is an attempt that is out.
+fn longest_held(arrivals: &[(Arrival, Instant)], now: Instant) -> Duration {
+    let mut longest = Duration::ZERO;
+    for (i, (arrival, at)) in arrivals.iter().enumerate() {
+        if *arrival == Arrival::Read {
+            let ends = arrivals.get(i + 1).map_or(now, |(_, ends)| *ends);
+            longest = longest.max(ends - *at);
+        }
+    }
+    longest
+}
+
+const UNSAFE: &str = "\"Idempotency\":\"side_effect\"";
+const KEYED: &str = "\"Idempotency\":\"token\",\"WindowUs\":5000000";
+const SAFE: &str = "\"Idempotency\":\"pure\"";
+
+/// Writers' connections are warm, then silent: the bytes of an attempt are taken and reach nobody. The attempt is not out
+/// then, and the time of the state runs on.
+#[test]
+fn a_held_state_is_released_in_time_though_an_attempt_was_written() {
+    for (name, class, silent) in [
+        ("unsafe", UNSAFE, &WRITERS[..1]),
+        ("unsafeall", UNSAFE, &WRITERS[..]),
+        ("keyedall", KEYED, &WRITERS[..]),
+        ("safeall", SAFE, &WRITERS[..]),
+    ] {
+        let fleet = Fleet::start(name, class, &Script::default());
+        assert_eq!(fleet.send("warm", REQUESTS, 2500).whole, REQUESTS, "{name}: all well");
+        fleet.fault(silent, Fault::Silent);
+        let answers = fleet.send(name, REQUESTS, 2500);
+        thread::sleep(RELEASE);
+        let (overdue, longest) = fleet.overdue(name);
+        assert_eq!(overdue, 0, "{name}: held for up to {longest:?}, {answers:?}");
+        assert_eq!(answers.given, REQUESTS, "{name}: {answers:?}");
+    }
+}
+
+/// Writers that are slow to a first token are sound: each request is answered, by one attempt.
+#[test]
+fn a_slow_writer_keeps_its_attempts() {
+    let writes = Script::default();
+    let fleet = Fleet::start("slow", UNSAFE, &writes);
+    writes.lock().expect("no panic").extend([Does::Late(1600); REQUESTS]);
+    let answers = fleet.send("slow", REQUESTS, 2500);
+    assert_eq!(answers.whole, REQUESTS, "{answers:?}");
+    for (id, arrivals) in fleet.arrivals("slow") {
+        let writes = arrivals.iter().filter(|(arrival, _)| *arrival == Arrival::Write).count();
+        assert_eq!(writes, 1, "{id}");
+    }
+}
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -2,9 +2,10 @@
 #![allow(dead_code)] // each test file uses its part
 
 use crate::platform::{Registry, ask, config};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,10 +13,21 @@
     Duration::from_millis(ms)
 }
 
+/// A port on a loopback address that nothing else has: a port that was free on the common address a moment ago may be
+/// another program's or a connection's by now, and one of the two then fails to listen.
+fn own_address() -> SocketAddr {
+    static TAKEN: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high.max(1), low, TAKEN.fetch_add(1, Ordering::Relaxed));
+    let listener = TcpListener::bind((ip, 0)).expect("a port");
+    listener.local_addr().expect("an address")
+}
+
 pub struct Running {
     child: Child,
     pub address: SocketAddr,
     pub file: PathBuf,
+    log: PathBuf,
     /// What the file says.
     pub told: String,
 }
@@ -25,37 +37,55 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
 impl Running {
     /// Under the system's own bound on descriptors; not ready yet.
     pub fn start(name: &str, registry: &Registry, sockets: usize) -> Running {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
-        drop(listener);
+        Self::start_with(name, registry, sockets, str::to_owned)
+    }
+
+    /// With its configuration changed before.
+    pub fn start_with(
+        name: &str,
+        registry: &Registry,
+        sockets: usize,
+        change: impl Fn(&str) -> String,
+    ) -> Running {
+        let address = own_address();
         let file = std::env::temp_dir().join(format!("tulipstall-{name}-{}.json", std::process::id()));
-        let told = config(registry, sockets, 1).replacen("127.0.0.1:0", &address.to_string(), 1);
+        let told = change(&config(registry, sockets, 1)).replacen("127.0.0.1:0", &address.to_string(), 1);
         std::fs::write(&file, &told).expect("a file");
         let program = env!("CARGO_BIN_EXE_tulipstall");
         let mut command = Command::new("sh");
         command.args(["-c", &format!("ulimit -n {sockets}; exec {program} node")]).env("EDGE_CONFIG", &file);
-        let child = command.stderr(Stdio::null()).spawn().expect("the program");
-        let running = Running { child, address, file, told };
+        let log = file.with_extension("log");
+        let stderr = std::fs::File::create(&log).expect("a log");
+        let child = command.stderr(Stdio::from(stderr)).spawn().expect("the program");
+        let mut running = Running { child, address, file, log, told };
         running.until("it does not listen", ms(10_000), || TcpStream::connect(address).is_ok());
         running
     }
 
-    pub fn ready(self) -> Running {
+    pub fn ready(mut self) -> Running {
         let ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        let is = || ask(self.address, ready).starts_with("HTTP/1.1 200");
-        self.until("never ready", ms(10_000), is);
+        let address = self.address;
+        self.until("never ready", ms(10_000), || ask(address, ready).starts_with("HTTP/1.1 200"));
         self
     }
 
-    fn until(&self, otherwise: &str, within: Duration, is: impl Fn() -> bool) {
+    /// What it has written to standard error.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn until(&mut self, otherwise: &str, within: Duration, is: impl Fn() -> bool) {
         let until = Instant::now() + within;
         while !is() {
+            let ended = self.child.try_wait().expect("a child");
+            assert!(ended.is_none(), "{otherwise}: it has ended, {ended:?}: {}", self.log());
             assert!(Instant::now() < until, "{otherwise}");
             thread::sleep(ms(10));
         }
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -1,6 +1,8 @@
 //! A stand-in platform on loopback: hosts, a registry and clients that judge by what crosses the sockets, faults injected.
 #![allow(dead_code)] // each test file uses its part
 
+pub mod proxy;
+
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
