Release held states by their own time: only an answer shows that an attempt has arrived

Cause: Rules::settle released a state only while no attempt was out, and Rules::closed started its time anew with every end of an attempt. Both took a written attempt for one at a running server. watch never calls off what may not repeat, so that such a state waited for the client's time-out; repeatable classes did where all writers were silent, or where one silent writer followed another.

Change: src/release.rs decides by when what servers may hold is released: seven tenths of the stated time after an attempt was last known to be at a server. Only an answer is knowledge. The attempt goes on, and what it may have run is not repeated. Reads that ended without an answer have the same clock.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -179,7 +179,7 @@
                 Some(t) => writeln!(reply, "ABORT_ATTEMPT {me} {t} {shot}"),
                 None => Ok(()),
             },
-            Action::Release { task: t } => match task(t) {
+            Action::Release { task: t, .. } => match task(t) {
                 Some(t) => writeln!(reply, "UNHOLD {me} {t}"),
                 None => Ok(()),
             },
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,7 +14,8 @@
 use tulipstall::Rules;
 use tulipstall::door::Door;
 use tulipstall::interface::{
-    Action, Belief, Closed, Event, Listed, Load, Order, Outcome, Ran, Role, Standing, Term, Terms,
+    Action, Belief, Closed, Event, Listed, Load, Order, Outcome, Ran, ReleaseReason, Role, Standing, Term,
+    Terms,
 };
 use tulipstall_prefix::chain::BLOCK;
 use tulipstall_prefix::{Kept, Prefixes};
@@ -134,6 +135,7 @@
     Release {
         held: Held,
         sure: bool,
+        reason: ReleaseReason,
     },
     Bounce {
         task: TaskId,
@@ -570,7 +572,8 @@
         let held = state.map(|state| Held { host: end.host, state, kept_tokens: end.kept_tokens });
         let Some(life) = self.life(task) else {
             // Its shot was overdue, its place may have a new owner: nobody else knows of the state.
-            return out.extend(held.map(|held| Output::Release { held, sure: outcome == Outcome::Read }));
+            let (sure, reason) = (outcome == Outcome::Read, ReleaseReason::Ended);
+            return out.extend(held.map(|held| Output::Release { held, sure, reason }));
         };
         let (ended, owner, offering) = (life.ended, life.owner, life.offering as usize);
         let Some(about) = life.shots.get_mut(shot as usize).filter(|shot| shot.out) else {
@@ -664,11 +667,15 @@
                 out.push(Output::Send { task, shot, host, errand, until, begin_by, held });
             }
             Action::Cancel { task, shot } => out.push(Output::Cancel { task: id(&self.lives, task), shot }),
-            Action::Release { task } => {
+            Action::Release { task, reason } => {
                 let task = id(&self.lives, task);
-                if let Some(held) = self.life(task).and_then(|life| life.held.take()) {
-                    out.push(Output::Release { held, sure: true });
-                }
+                let Some(life) = self.life(task) else { return };
+                // What a read may have left is told of again with the end of the task, as it may come yet.
+                let left = if reason == ReleaseReason::Unused { &[] } else { &life.left[..] };
+                let held = life.held.take();
+                let known = |left: &&Held| held.as_ref().is_none_or(|held| held.state != left.state);
+                let all = left.iter().filter(known).cloned().chain(held.clone());
+                out.extend(all.map(|held| Output::Release { held, sure: true, reason }));
             }
             Action::Bounce { task, come_back } => {
                 let task = id(&self.lives, task);
@@ -693,7 +700,8 @@
                     let left = std::mem::take(&mut life.left);
                     self.in_hand -= 1;
                     self.forgotten.push(place);
-                    out.extend(left.into_iter().map(|held| Output::Release { held, sure: false }));
+                    let reason = ReleaseReason::Ended;
+                    out.extend(left.into_iter().map(|held| Output::Release { held, sure: false, reason }));
                     out.push(Output::Forget { task });
                 }
             }
--- a/crates/core/tests/life.rs
+++ b/crates/core/tests/life.rs
@@ -193,7 +193,7 @@
 fn what_reads_may_have_left_is_let_go_of() {
     let released = |out: &[Output]| -> Vec<(String, bool)> {
         let name = |o: &Output| match o {
-            Output::Release { held, sure } => Some((held.state.clone(), *sure)),
+            Output::Release { held, sure, .. } => Some((held.state.clone(), *sure)),
             _ => None,
         };
         out.iter().filter_map(name).collect()
--- a/crates/node/src/letting_go.rs
+++ b/crates/node/src/letting_go.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use tulipstall::interface::ReleaseReason;
 use tulipstall_net::{Fault, Reply};
 use tulipstall_platform::host::{self, ANSWER};
 use tulipstall_platform::letting_go::{left_after_it_is_owed, once_more, pause, within};
@@ -17,13 +18,19 @@
     /// Who holds it, or may.
     at: String,
     sure: bool,
+    reason: ReleaseReason,
 }
 
 impl LettingGo {
-    pub fn new(shared: Arc<Shared>, id: String, at: String, sure: bool) -> Self {
+    pub fn new(shared: Arc<Shared>, id: String, at: String, sure: bool, reason: ReleaseReason) -> Self {
         shared.unsettled.fetch_add(1, Ordering::SeqCst);
-        shared.releases.owed.fetch_add(1, Ordering::Relaxed);
-        LettingGo { shared, id, at, sure }
+        let counts = &shared.releases;
+        counts.owed.fetch_add(1, Ordering::Relaxed);
+        if reason == ReleaseReason::Unanswered {
+            counts.unanswered.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(id, at, "released while an attempt is unanswered");
+        }
+        LettingGo { shared, id, at, sure, reason }
     }
 
     pub fn run(self) {
@@ -53,7 +60,8 @@
             let answer = self.ask(&way, within);
             way.answers(answer.is_ok());
             let (id, host, ms) = (&self.id, &way.name, from.elapsed().as_millis() as u64);
-            tracing::debug!(id, host, at = self.at, sure = self.sure, ?answer, tries, ms, "let go");
+            let reason = self.reason;
+            tracing::debug!(id, host, at = self.at, sure = self.sure, ?reason, ?answer, tries, ms, "let go");
             match answer {
                 Ok(()) => return self.done(from),
                 Err(fault) => {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -12,27 +12,30 @@
 pub struct ReleaseCounts {
     /// Owed, whether or not they are done yet.
     pub owed: AtomicU64,
+    /// Of these, owed while an attempt was out that its server had not answered.
+    pub unanswered: AtomicU64,
     /// Answered by a server.
     pub done: AtomicU64,
     /// Of these, later than the stated time allows.
     pub late: AtomicU64,
     /// Given up, as no server answered.
     pub abandoned: AtomicU64,
-    reported: Mutex<Option<(Instant, [u64; 4])>>,
+    reported: Mutex<Option<(Instant, [u64; 5])>>,
 }
 
 impl ReleaseCounts {
     /// Writes the counts to the log if they have changed, every [`REPORT_EVERY`] at most.
     pub fn report(&self) {
-        let counts = [&self.owed, &self.done, &self.late, &self.abandoned].map(|count| count.load(Relaxed));
+        let counts = [&self.owed, &self.unanswered, &self.done, &self.late, &self.abandoned];
+        let counts = counts.map(|count| count.load(Relaxed));
         let mut reported = crate::lock(&self.reported);
         let recent = reported.is_some_and(|(at, _)| at.elapsed() < REPORT_EVERY);
-        if recent || counts == reported.map_or([0; 4], |(_, before)| before) {
+        if recent || counts == reported.map_or([0; 5], |(_, before)| before) {
             return;
         }
         *reported = Some((Instant::now(), counts));
-        let [owed, done, late, abandoned] = counts;
+        let [owed, unanswered, done, late, abandoned] = counts;
         let pending = owed.saturating_sub(done + abandoned);
-        tracing::info!(owed, done, pending, late, abandoned, "releases of held states");
+        tracing::info!(owed, unanswered, done, pending, late, abandoned, "releases of held states");
     }
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -152,9 +152,9 @@
                 }
             }
             // A state has its task's id.
-            Output::Release { held, sure } => {
+            Output::Release { held, sure, reason } => {
                 let (at, shared) = (self.core.host_name(held.host).unwrap_or_default(), self.shared.clone());
-                let letting_go = LettingGo::new(shared, held.state, at.to_owned(), sure);
+                let letting_go = LettingGo::new(shared, held.state, at.to_owned(), sure, reason);
                 spawn(move || letting_go.run());
             }
             Output::Bounce { task, come_back } => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -126,6 +126,12 @@
         use Outcome::*;
         matches!(self, Read | Full | NoState | NoConnection | Moot)
     }
+
+    /// Whether the server was heard of by it, which proves that the attempt had arrived.
+    pub fn is_answered(self) -> bool {
+        use Outcome::*;
+        matches!(self, Delivered | Read | Full | NoState | Error | Spoilt)
+    }
 }
 
 /// A load report, in the order of the names told at start.
@@ -221,6 +227,19 @@
     pub slow: f64,
 }
 
+/// Why what servers hold for a request is released.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum ReleaseReason {
+    /// No writer will fetch it: the request has ended, or no writer may be sent to in time.
+    Unused,
+    /// Its time is over while an attempt is out whose server has not been heard of.
+    Unanswered,
+    /// Its time is over and it is of no use: a read that told no good end may have left it.
+    Left,
+    /// The request is over, and a read of it may have left something.
+    Ended,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub enum Action {
     Send {
@@ -234,8 +253,10 @@
         task: u32,
         shot: u32,
     },
+    /// What servers hold for the task, whatever is out for it.
     Release {
         task: u32,
+        reason: ReleaseReason,
     },
     Bounce {
         task: u32,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod door;
 pub mod interface;
+mod release;
 pub mod rules;
 mod state;
 
--- /dev/null
+++ b/src/release.rs
@@ -0,0 +1,72 @@
+//! When what servers may hold for a request has to be released.
+//!
+//! A reader keeps the state of a prompt until a writer fetches it. While no attempt of the request is at a running server
+//! the state may be held for the stated time only (`service.release_us`). From here it cannot be seen whether an attempt
+//! has reached its server: a write that succeeded, an accepted connection and an answer over another connection prove
+//! nothing, as an open connection may fall silent without an error. Only an answer proves it. So the time runs from the
+//! read, an answer starts it anew, and neither a send nor the end of an attempt that told nothing stops it.
+
+use crate::interface::Outcome;
+use std::time::Duration;
+
+/// The part of the stated time after which a release begins. The rest is for a late timer, for servers that do not answer
+/// the release, and for a connection that is still coming up.
+const BEGINS_AT: f64 = 0.7;
+
+/// How long after an attempt was last known to be at a server a release begins.
+pub(crate) fn begins_after(stated: Duration) -> Duration {
+    stated.mul_f64(BEGINS_AT)
+}
+
+/// What servers may hold for one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Held {
+    /// The reader whose state the next writer fetches.
+    reader: Option<u32>,
+    /// Whether a state may be left anywhere else: a read that ended without an answer, or one that a writer did not find.
+    left: bool,
+    /// When an attempt was last known to be at a server.
+    since: Duration,
+}
+
+impl Held {
+    /// The reader whose state the next writer fetches, if there is one.
+    pub(crate) fn reader(&self) -> Option<u32> {
+        self.reader
+    }
+
+    /// An attempt at `server` ended with `outcome`; `reads` if it was to leave a state there.
+    pub(crate) fn ended(&mut self, server: u32, reads: bool, outcome: Outcome, now: Duration) {
+        if outcome.is_answered() || !self.is_any() {
+            self.since = now;
+        }
+        match outcome {
+            Outcome::Read => self.reader = Some(server),
+            Outcome::NoState => self.left |= self.reader.take().is_some(),
+            Outcome::Delivered | Outcome::Spoilt => self.reader = None,
+            _ => {}
+        }
+        self.left |= reads && !outcome.never_ran();
+    }
+
+    /// A writer's answer has begun, so that it has fetched the state: from which reader.
+    pub(crate) fn fetched(&mut self) -> Option<u32> {
+        self.reader.take()
+    }
+
+    /// All of it is released from now on; whether there may have been any.
+    pub(crate) fn release(&mut self) -> bool {
+        let any = self.is_any();
+        (self.reader, self.left) = (None, false);
+        any
+    }
+
+    /// When the release of it has to begin; absent while nothing is held.
+    pub(crate) fn release_at(&self, stated: Duration) -> Option<Duration> {
+        self.is_any().then(|| self.since + begins_after(stated))
+    }
+
+    fn is_any(&self) -> bool {
+        self.reader.is_some() || self.left
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,8 +4,9 @@
 //! compares that with what is out, held and timed, and emits the difference.
 
 use crate::interface::{
-    Action, Closed, Event, Key, Listed, Load, Order, Outcome, Ran, Role, Standing, Terms,
+    Action, Closed, Event, Key, Listed, Load, Order, Outcome, Ran, ReleaseReason, Role, Standing, Terms,
 };
+use crate::release::begins_after;
 pub use crate::state::Rules;
 use crate::state::{Chance, Fading, Host, Kept, Offering, Part, Ratio, Shot, Task, Wanted};
 use crate::state::{find_kept, highest, highest_of, kept_by, note_demand, note_kept};
@@ -208,7 +209,7 @@
         let now = self.now;
         let Some(task) = self.tasks.get_mut(t as usize) else { return t };
         let Some(shot) = task.shots.get_mut(shot as usize).filter(|shot| shot.out) else { return t };
-        let from = task.held_by.take().map_or(u32::MAX, |from| self.hosts[from as usize].listed.cell);
+        let from = task.held.fetched().map_or(u32::MAX, |from| self.hosts[from as usize].listed.cell);
         let waited = (now - shot.sent).as_secs_f64();
         shot.started = Some(now);
         let host = &mut self.hosts[shot.host as usize];
@@ -232,24 +233,17 @@
         let (now, t) = (self.now, closed.task);
         let Some(task) = self.tasks.get_mut(t as usize).filter(|task| task.live) else { return t };
         task.ended |= closed.finished;
-        // Seven tenths of the time for letting go leave room for a late timer, and for a last connection. What
-        // never came to a host stops no clock of a state that is held.
-        if task.held_by.is_none() || !matches!(closed.outcome, Outcome::NoConnection | Outcome::Moot) {
-            task.wait_until = now + self.terms.span("service.release_us").unwrap_or_default().mul_f64(0.7);
-        }
+        // As long without an attempt as a state may be held: for a start, once nothing is held any more.
+        task.wait_until = now + begins_after(self.terms.span("service.release_us").unwrap_or_default());
         let Some(shot) = task.shots.get_mut(closed.shot as usize).filter(|shot| shot.out) else { return t };
         shot.out = false;
         shot.may_have_run = shot.part != Part::Read && !closed.outcome.never_ran();
         shot.failed = !matches!(closed.outcome, Outcome::Delivered | Outcome::Read);
-        match closed.outcome {
-            Outcome::Read => {
-                task.held_by = Some(shot.host);
-                let host = &mut self.hosts[shot.host as usize];
-                host.rate.add(now, 30.0, 1.0);
-                host.overtook = shot.sent.max(host.overtook);
-            }
-            Outcome::NoState | Outcome::Delivered | Outcome::Spoilt => task.held_by = None,
-            _ => {}
+        task.held.ended(shot.host, shot.part == Part::Read, closed.outcome, now);
+        if closed.outcome == Outcome::Read {
+            let host = &mut self.hosts[shot.host as usize];
+            host.rate.add(now, 30.0, 1.0);
+            host.overtook = shot.sent.max(host.overtook);
         }
         let (shot, order, told) = (*shot, task.order, self.offerings[task.offering].agreed);
         let (home, ended) = (task.home, task.ended);
@@ -669,7 +663,7 @@
     /// cells with writers to spare, by chance in proportion, those of its zone rather.
     fn pick_writer(&mut self, t: usize, part: Part) -> Option<u32> {
         let (fewest, margin) = (self.count(t, part), self.alike(t));
-        let from = self.tasks[t].held_by.map(|h| self.hosts[h as usize]);
+        let from = self.tasks[t].held.reader().map(|h| self.hosts[h as usize]);
         // As far as own streams at the writers don't show who is full, and as far as it is worth it: slow
         // links cost more than a full writer near by.
         let writers = self.peers(Role::Writer);
@@ -757,7 +751,38 @@
     }
 
     fn plan(&mut self, t: usize) {
+        self.plan_attempts(t);
+        self.plan_release(t);
+    }
+
+    fn stated_release(&self) -> Duration {
+        self.terms.span("service.release_us").unwrap_or_default()
+    }
+
+    /// What is held is released in the stated time also while an attempt is out that nothing has been heard of: it may
+    /// never have arrived. The attempt goes on: its writer may be slow, and what has arrived may run whatever is released.
+    fn plan_release(&mut self, t: usize) {
+        let (now, stated) = (self.now, self.stated_release());
+        let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
+        let Some(at) = task.held.release_at(stated) else { return };
+        if task.shots.iter().any(|shot| shot.out && shot.started.is_some()) {
+            return;
+        }
+        let unheard = task.want.shot.is_some() || task.shots.iter().any(|shot| shot.out);
+        // A state that waits for a writer is given up with its request; what may be left elsewhere hinders nothing.
+        let waits = task.held.reader().is_some() || task.ended;
+        if !unheard && waits {
+            return;
+        }
+        task.want.release = at <= now;
+        if at > now {
+            task.want.wake = Some(task.want.wake.map_or(at, |wake| wake.min(at)));
+        }
+    }
+
+    fn plan_attempts(&mut self, t: usize) {
         let (now, cancel) = (self.now, self.terms.flag("allowed.cancel"));
+        let stated = self.stated_release();
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
         task.want = Wanted::default();
         if task.ended {
@@ -770,13 +795,15 @@
         if let Some(i) = task.shots.iter().position(|shot| shot.out) {
             return self.watch(t, i);
         }
-        let (held, first, stop) = (task.held_by, task.shots.is_empty(), task.stop);
+        let (held, first, stop) = (task.held.reader(), task.shots.is_empty(), task.stop);
         let agreed = (task.due - task.arrived).as_secs_f64();
         let most = self.terms.number("allowed.max_shots").unwrap_or(1.0) as usize;
         let told = &self.offerings[task.offering];
         let barred = !task.ran().all(|shot| told.again(shot, None, now));
         let late = now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
-        let pinned = held.is_some() && now >= task.wait_until;
+        let release_at = held.and_then(|_| task.held.release_at(stated));
+        let pinned = release_at.is_some_and(|at| at <= now);
+        let wait_until = release_at.unwrap_or(task.wait_until);
         if late || pinned || barred || task.shots.len() >= most || (first && !self.room(t)) {
             return self.give_up(t);
         }
@@ -802,7 +829,7 @@
         } else if task.want.answer.is_none() {
             // Nobody may be sent to for now: cold budgets fill, credit is earned.
             let wake = now + Duration::from_millis(10);
-            if wake >= task.wait_until.min(stop) {
+            if wake >= wait_until.min(stop) {
                 return self.give_up(t);
             }
             task.want.wake = Some(wake);
@@ -864,8 +891,12 @@
             out.push(Action::Cancel { task: number, shot: i as u32 });
         }
         let any_out = task.shots.iter().any(|shot| shot.out);
-        if !task.want.keep && !any_out && task.held_by.take().is_some() {
-            out.push(Action::Release { task: number });
+        if task.want.release && task.held.release() {
+            let reason = if any_out { ReleaseReason::Unanswered } else { ReleaseReason::Left };
+            out.push(Action::Release { task: number, reason });
+        }
+        if !task.want.keep && !any_out && task.held.reader().is_some() && task.held.release() {
+            out.push(Action::Release { task: number, reason: ReleaseReason::Unused });
         }
         if task.ended && !any_out {
             task.live = false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that the rules keep, and the plain helpers on it: no decision, no tuned value.
 
 use crate::interface::{Belief, Key, Listed, Order, Standing, Terms};
+use crate::release::Held;
 use std::time::Duration;
 
 /// PCG-XSH-RR 64/32 (O'Neill).
@@ -156,6 +157,7 @@
     pub(crate) cancel: Option<usize>,
     pub(crate) answer: Option<bool>,
     pub(crate) keep: bool,
+    pub(crate) release: bool,
     pub(crate) wake: Option<Duration>,
 }
 
@@ -180,8 +182,8 @@
     pub(crate) told: Option<Vec<(u32, u32)>>,
     pub(crate) patience: Duration,
     pub(crate) ended: bool,
-    pub(crate) held_by: Option<u32>,
-    /// How long it may be without a shot: for a start, or to take the state held.
+    pub(crate) held: Held,
+    /// How long it may wait for a start.
     pub(crate) wait_until: Duration,
     pub(crate) timer: Option<Duration>,
     pub(crate) want: Wanted,
