Give a silent writer up while another can fetch the state; release later where one may answer

A release while an attempt is unanswered begins at 0.85 of the stated time now, as the attempt may be answered yet; and a writer that is silent while its peers speak is given up at 0.65, while another can fetch the state.

--- a/src/release.rs
+++ b/src/release.rs
@@ -9,10 +9,18 @@
 use crate::interface::Outcome;
 use std::time::Duration;
 
-/// The part of the stated time after which a release begins. The rest is for a late timer, for servers that do not answer
-/// the release, and for a connection that is still coming up.
+/// The part of the stated time after which a release begins while no attempt is out. The rest is for a late timer, for
+/// servers that do not answer the release, and for a connection that is still coming up.
 const BEGINS_AT: f64 = 0.7;
 
+/// The same while an attempt is out that was not answered: it may be answered yet, so that the release begins as late as a
+/// dispatcher that is held up for 150 ms can still have it done inside the operators' slack.
+const BEGINS_UNANSWERED_AT: f64 = 0.85;
+
+/// The part of the stated time after which a writer that is silent while its peers speak is given up for another: while
+/// the state is still there for that one, and with time for its answer.
+const OTHER_WRITER_AT: f64 = 0.65;
+
 /// How long after an attempt was last known to be at a server a release begins.
 pub(crate) fn begins_after(stated: Duration) -> Duration {
     stated.mul_f64(BEGINS_AT)
@@ -61,9 +69,15 @@
         any
     }
 
-    /// When the release of it has to begin; absent while nothing is held.
-    pub(crate) fn release_at(&self, stated: Duration) -> Option<Duration> {
-        self.is_any().then(|| self.since + begins_after(stated))
+    /// When the release of it has to begin, by whether an attempt is out; absent while nothing is held.
+    pub(crate) fn release_at(&self, stated: Duration, any_out: bool) -> Option<Duration> {
+        let after = if any_out { stated.mul_f64(BEGINS_UNANSWERED_AT) } else { begins_after(stated) };
+        self.is_any().then(|| self.since + after)
+    }
+
+    /// When a silent writer is given up for another one that fetches the state; absent without such a state.
+    pub(crate) fn other_writer_at(&self, stated: Duration) -> Option<Duration> {
+        self.reader.map(|_| self.since + stated.mul_f64(OTHER_WRITER_AT))
     }
 
     fn is_any(&self) -> bool {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -764,11 +764,11 @@
     fn plan_release(&mut self, t: usize) {
         let (now, stated) = (self.now, self.stated_release());
         let Some(task) = self.tasks.get_mut(t).filter(|task| task.live) else { return };
-        let Some(at) = task.held.release_at(stated) else { return };
         if task.shots.iter().any(|shot| shot.out && shot.started.is_some()) {
             return;
         }
         let unheard = task.want.shot.is_some() || task.shots.iter().any(|shot| shot.out);
+        let Some(at) = task.held.release_at(stated, unheard) else { return };
         // A state that waits for a writer is given up with its request; what may be left elsewhere hinders nothing.
         let waits = task.held.reader().is_some() || task.ended;
         if !unheard && waits {
@@ -801,7 +801,7 @@
         let told = &self.offerings[task.offering];
         let barred = !task.ran().all(|shot| told.again(shot, None, now));
         let late = now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
-        let release_at = held.and_then(|_| task.held.release_at(stated));
+        let release_at = held.and_then(|_| task.held.release_at(stated, false));
         let pinned = release_at.is_some_and(|at| at <= now);
         let wait_until = release_at.unwrap_or(task.wait_until);
         if late || pinned || barred || task.shots.len() >= most || (first && !self.room(t)) {
@@ -847,7 +847,11 @@
         let host = &self.hosts[shot.host as usize];
         let told = &self.offerings[task.offering];
         let peers = self.peers(host.listed.role).any(|(_, peer)| peer.heard > shot.sent);
-        let silent = now >= shot.sent + 3 * patience && host.heard <= shot.sent && peers;
+        // While another writer can still fetch the state, silence is told sooner.
+        let other_at =
+            task.held.other_writer_at(self.stated_release()).map(|at| at.max(shot.sent + patience));
+        let silent_at = other_at.map_or(shot.sent + 3 * patience, |at| at.min(shot.sent + 3 * patience));
+        let silent = now >= silent_at && host.heard <= shot.sent && peers;
         let overtaken = now >= shot.sent + patience && host.overtook > shot.sent + patience / 4;
         let gone = host.listed.standing == Standing::Gone || host.listed.mark != shot.at.mark;
         let stays = shot.part != Part::Read && !told.again(&shot, None, now);
@@ -857,6 +861,7 @@
             return;
         }
         let next = if now < shot.sent + patience { shot.sent + patience } else { now + patience / 2 };
+        let next = if now < silent_at { next.min(silent_at) } else { next };
         want.cancel = (silent || overtaken || gone).then_some(i);
         want.wake = Some(next).filter(|at| *at < stop && want.cancel.is_none());
     }
