Ask for releases in waves that widen, over new connections too

A release asked one server after the other, a tenth of the stated time each, over kept connections first. Waves of 1, 2, 4 and 4 calls go out a twentieth of the time apart, every second call over a new connection, until one is answered; bounded by descriptors. letting_go is named release in both packages, a platform attempt Attempt; counts and late releases as before.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,4 +1,4 @@
-//! One shot at one host, from the connection to what its end proves. Nothing is repeated here: what to do after an
+//! One attempt at one host, from the connection to what its end proves. Nothing is repeated here: what to do after an
 //! end is decided above.
 
 use crate::front::Message;
@@ -14,9 +14,9 @@
 use tulipstall_net::{Fault, Link, Reply, sockets_held};
 use tulipstall_platform::host::{self, ANSWER, Events, Says};
 use tulipstall_platform::kept::Kept;
-use tulipstall_platform::{letting_go, patience};
+use tulipstall_platform::{patience, release};
 
-pub struct Shot {
+pub struct Attempt {
     pub shared: Arc<Shared>,
     pub id: TaskId,
     pub task: Arc<Task>,
@@ -30,7 +30,7 @@
 
 /// A stream whose first event has come, handed to the client's coroutine with all that it needs to end it.
 pub struct Begun {
-    pub shot: Closing,
+    pub attempt: Closing,
     pub way: Arc<Way>,
     pub reply: Reply,
     pub events: Events,
@@ -39,7 +39,7 @@
     pub ended: bool,
 }
 
-/// Owes the decisions the end of a shot: told as broken if dropped without, as by a panic.
+/// Owes the decisions the end of an attempt: told as broken if dropped without, as by a panic.
 pub struct Closing {
     shared: Arc<Shared>,
     id: TaskId,
@@ -128,7 +128,7 @@
     }
 }
 
-impl Shot {
+impl Attempt {
     pub fn run(self, way: Option<Arc<Way>>) {
         let (shared, id, number) = (self.shared.clone(), self.id, self.number);
         let mut closing = Closing { shared, id, number, told: false, at: None };
@@ -157,14 +157,14 @@
                 self.note(&way, Outcome::Delivered, sent, 0);
                 self.shared.posts.post(Post::Told(Input::Began { task: self.id, shot: self.number }));
                 let (reply, events, bytes, ended) = *begins;
-                let begun = Begun { shot: closing, way, reply, events, bytes, ended };
+                let begun = Begun { attempt: closing, way, reply, events, bytes, ended };
                 let _ = self.task.inbox.send(Message::Begun { id: self.id, begun: Box::new(begun) });
             }
         }
     }
 
     fn note(&self, way: &Way, outcome: Outcome, sent: Instant, kept: u32) {
-        if let Some(it_does) = letting_go::answers(outcome) {
+        if let Some(it_does) = release::answers(outcome) {
             way.answers(it_does);
         }
         let (ms, after) = (sent.elapsed().as_millis() as u64, (sent - self.task.arrived).as_millis() as u64);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,8 +1,8 @@
 //! Clients' connections. Two coroutines each: one reads requests and notices when the client leaves, the other answers
 //! them in their order.
 
+use crate::attempt::Begun;
 use crate::owner::Post;
-use crate::shot::Begun;
 use crate::task::Task;
 use crate::{Shared, lock, relay};
 use may::sync::mpsc::{Receiver, Sender, channel};
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -16,7 +16,7 @@
 use tulipstall_core::Input;
 use tulipstall_net::{Link, Pool};
 use tulipstall_platform::registry::List;
-use tulipstall_platform::{letting_go, patience};
+use tulipstall_platform::{patience, release};
 
 /// The way to one process of a host.
 pub struct Way {
@@ -112,20 +112,20 @@
         lock(&self.ways).get(name).cloned()
     }
 
-    /// Whom to tell next to let go of what is held for a task: who holds it, and who was told in vain.
-    pub fn next_told(&self, holds: &str, in_vain: &[Arc<Way>]) -> Option<Arc<Way>> {
+    /// Whom to ask next to release what is held for a request: by who holds it, and who has been asked.
+    pub fn next_asked_to_release(&self, holds: &str, asked: &[Arc<Way>]) -> Option<Arc<Way>> {
         let open: Vec<Arc<Way>> = lock(&self.ways).values().filter(|way| way.open()).cloned().collect();
-        let about = |way: &Arc<Way>| letting_go::Host {
+        let about = |way: &Arc<Way>| release::Server {
             zone: way.zone,
             near: Some(way.zone) == self.here,
             doubted: way.doubted.load(Ordering::Relaxed),
             ready: way.pool.any(),
-            tried: in_vain.iter().filter(|told| told.name == way.name).count() as u32,
+            tried: asked.iter().filter(|before| before.name == way.name).count() as u32,
         };
-        let hosts: Vec<letting_go::Host> = open.iter().map(about).collect();
+        let hosts: Vec<release::Server> = open.iter().map(about).collect();
         let at = open.iter().position(|way| way.name == holds);
         let mut chance = lock(&self.chance);
-        letting_go::next(&hosts, at, || chance.next_u32()).map(|at| open[at].clone())
+        release::next(&hosts, at, || chance.next_u32()).map(|at| open[at].clone())
     }
 
     /// Lets go of idle connections that are too old.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,14 +2,14 @@
 //! happens and carries out what that asks for, like the messages front does; it decides nothing by itself. It listens
 //! on one address, writes no file, and gets its list of hosts from the platform's registry.
 
+mod attempt;
 mod front;
 mod hosts;
-mod letting_go;
 mod metrics;
 mod owner;
 mod registry;
 mod relay;
-mod shot;
+mod release;
 mod task;
 
 use hosts::Hosts;
@@ -67,7 +67,7 @@
     come_back: Option<Duration>,
     /// Tasks taken whose client has not had its last byte yet.
     in_hand: AtomicUsize,
-    /// Tasks that the decisions still have, and states that hosts are to let go of.
+    /// Tasks that the decisions still have, and releases that are owed.
     unsettled: AtomicUsize,
     releases: metrics::ReleaseCounts,
     /// Their ids: one that is in hand is no other client's to use.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,10 +1,10 @@
 //! The one owner of the decisions: takes what happened in order from a bounded queue, hands out what to do.
 
 use crate::Shared;
+use crate::attempt::Attempt;
 use crate::front::Message;
 use crate::hosts::Way;
-use crate::letting_go::LettingGo;
-use crate::shot::Shot;
+use crate::release::{Held, Release};
 use crate::task::{Out, Task};
 use may::sync::mpsc::Receiver;
 use std::io;
@@ -142,9 +142,18 @@
                 in_hand.shots.push(out.clone());
                 let (about, reads) = (in_hand.task.clone(), errand == Errand::Read);
                 let (until, begin_by) = (shared.start + until, shared.start + begin_by);
-                let shot =
-                    Shot { shared, id: task, task: about, number: shot, host, reads, out, until, begin_by };
-                spawn(move || shot.run(way));
+                let attempt = Attempt {
+                    shared,
+                    id: task,
+                    task: about,
+                    number: shot,
+                    host,
+                    reads,
+                    out,
+                    until,
+                    begin_by,
+                };
+                spawn(move || attempt.run(way));
             }
             Output::Cancel { task, shot } => {
                 if let Some(out) = self.held(task).and_then(|held| held.shots.get(shot as usize)) {
@@ -153,9 +162,10 @@
             }
             // A state has its task's id.
             Output::Release { held, sure, reason } => {
-                let (at, shared) = (self.core.host_name(held.host).unwrap_or_default(), self.shared.clone());
-                let letting_go = LettingGo::new(shared, held.state, at.to_owned(), sure, reason);
-                spawn(move || letting_go.run());
+                let server = self.core.host_name(held.host).unwrap_or_default().to_owned();
+                let release =
+                    Release::new(self.shared.clone(), Held { id: held.state, server, sure }, reason);
+                spawn(move || release.run());
             }
             Output::Bounce { task, come_back } => {
                 let Some(held) = self.held(task) else { return };
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,8 +2,8 @@
 //! holds its own host back and nobody else's.
 
 use crate::Shared;
+use crate::attempt::{Begun, give_back};
 use crate::front::Client;
-use crate::shot::{Begun, give_back};
 use std::time::Instant;
 use tulipstall::interface::Outcome;
 use tulipstall_core::End;
@@ -59,6 +59,6 @@
     } else {
         begun.reply.link.shut();
     }
-    begun.shot.close(outcome, End::default());
+    begun.attempt.close(outcome, End::default());
     (said, whole)
 }
--- a/crates/node/src/release.rs
+++ b/crates/node/src/release.rs
@@ -1,109 +1,168 @@
-//! Tells hosts to let go of what they hold for a task, until one has answered.
+//! Asks servers to release what they hold for a request, until one has answered.
 
-use crate::Shared;
+use crate::attempt::give_back;
 use crate::hosts::Way;
-use crate::shot::give_back;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use crate::{Shared, lock};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tulipstall::interface::ReleaseReason;
-use tulipstall_net::{Fault, Reply};
+use tulipstall_net::{Fault, Link, Reply, sockets_held, spawn};
 use tulipstall_platform::host::{self, ANSWER};
-use tulipstall_platform::letting_go::{left_after_it_is_owed, once_more, pause, within};
+use tulipstall_platform::release::{self, Wave};
 
-/// Counted from the moment that it is owed, so that nothing stops before it is done.
-pub struct LettingGo {
+/// What is released: the state of one request.
+pub struct Held {
+    /// The request's id.
+    pub id: String,
+    /// The server that holds it, or may.
+    pub server: String,
+    /// Its reader told of it; else it may be there, and may come yet.
+    pub sure: bool,
+}
+
+/// One release that is owed. Counted until it is dropped, so that nothing stops before it is done.
+pub struct Release {
     shared: Arc<Shared>,
-    id: String,
-    /// Who holds it, or may.
-    at: String,
-    sure: bool,
+    held: Arc<Held>,
     reason: ReleaseReason,
 }
 
-impl LettingGo {
-    pub fn new(shared: Arc<Shared>, id: String, at: String, sure: bool, reason: ReleaseReason) -> Self {
+/// What has become of the calls of one release.
+struct Calls {
+    is_answered: AtomicBool,
+    last_fault: Mutex<Fault>,
+}
+
+/// How often the calls of a wave are looked at: a tenth of a wave at the usual second.
+const LOOKS: Duration = Duration::from_millis(5);
+
+impl Release {
+    pub fn new(shared: Arc<Shared>, held: Held, reason: ReleaseReason) -> Self {
         shared.unsettled.fetch_add(1, Ordering::SeqCst);
-        let counts = &shared.releases;
-        counts.owed.fetch_add(1, Ordering::Relaxed);
         if reason == ReleaseReason::Unanswered {
-            counts.unanswered.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(id, at, "released while an attempt is unanswered");
+            shared.releases.unanswered.fetch_add(1, Ordering::Relaxed);
+            let Held { id, server, .. } = &held;
+            tracing::info!(id, server, "released while an attempt is unanswered");
         }
-        LettingGo { shared, id, at, sure, reason }
+        Release { shared, held: Arc::new(held), reason }
     }
 
     pub fn run(self) {
         let from = Instant::now();
-        self.tell(from);
-        if !self.sure {
-            // The read may have ended well after that, where its host could not see that nobody waits any more.
-            tulipstall_net::sleep(once_more(self.shared.release).saturating_sub(from.elapsed()));
-            self.shared.releases.owed.fetch_add(1, Ordering::Relaxed);
-            self.tell(Instant::now());
+        self.ask_in_waves();
+        if !self.held.sure {
+            // The read may have ended well after that, where its server could not see that nobody waits any more.
+            tulipstall_net::sleep(release::once_more(self.shared.release).saturating_sub(from.elapsed()));
+            self.ask_in_waves();
         }
     }
 
-    fn tell(&self, from: Instant) {
-        let shared = &self.shared;
-        let within = within(shared.release);
-        let (mut in_vain, mut why): (Vec<Arc<Way>>, _) = (Vec::new(), Fault::NoConnection);
-        let mut tries = 0;
-        while let Some(wait) = pause(tries, shared.release) {
-            tulipstall_net::sleep(wait);
-            tries += 1;
-            let Some(way) = shared.hosts.next_told(&self.at, &in_vain) else {
-                // Nobody on the list runs: it takes what a host that does not answer would, and there may be one then.
-                tulipstall_net::sleep(within);
-                continue;
-            };
-            let answer = self.ask(&way, within);
-            way.answers(answer.is_ok());
-            let (id, host, ms) = (&self.id, &way.name, from.elapsed().as_millis() as u64);
-            let reason = self.reason;
-            tracing::debug!(id, host, at = self.at, sure = self.sure, ?reason, ?answer, tries, ms, "let go");
-            match answer {
-                Ok(()) => return self.done(from),
-                Err(fault) => {
-                    why = fault;
-                    in_vain.push(way);
-                }
+    /// Asks more and more servers until one answers.
+    fn ask_in_waves(&self) {
+        let counts = &self.shared.releases;
+        counts.owed.fetch_add(1, Ordering::Relaxed);
+        let from = Instant::now();
+        let calls =
+            Calls { is_answered: AtomicBool::new(false), last_fault: Mutex::new(Fault::NoConnection) };
+        let calls = Arc::new(calls);
+        let mut asked: Vec<Arc<Way>> = Vec::new();
+        let mut number = 0;
+        while let Some(wave) = release::wave(number, self.shared.release) {
+            self.send(wave, number, &mut asked, &calls);
+            if calls.is_answered_within(wave.lasts) {
+                return self.note_done(from);
             }
+            number += 1;
         }
-        shared.releases.abandoned.fetch_add(1, Ordering::Relaxed);
-        let (id, ms) = (&self.id, from.elapsed().as_millis() as u64);
-        tracing::warn!(id, at = self.at, tries, ms, ?why, "what is held could not be let go of");
+        counts.abandoned.fetch_add(1, Ordering::Relaxed);
+        let Held { id, server, .. } = &*self.held;
+        let (calls_sent, why) = (asked.len(), *lock(&calls.last_fault));
+        let ms = from.elapsed().as_millis() as u64;
+        tracing::warn!(id, server, calls_sent, ms, ?why, "a held state could not be released");
     }
 
-    /// A server has released it.
-    fn done(&self, from: Instant) {
+    /// Sends one wave of calls. Where descriptors run short it has one call, and nobody on the list may mean none.
+    fn send(&self, wave: Wave, number: u32, asked: &mut Vec<Arc<Way>>, calls: &Arc<Calls>) {
         let shared = &self.shared;
-        shared.releases.done.fetch_add(1, Ordering::Relaxed);
-        if from.elapsed() > left_after_it_is_owed(shared.release) {
-            shared.releases.late.fetch_add(1, Ordering::Relaxed);
-            let (id, ms) = (&self.id, from.elapsed().as_millis() as u64);
-            tracing::warn!(id, at = self.at, sure = self.sure, ms, "a held state was released late");
+        for call in 0..wave.calls {
+            if call > 0 && !shared.room.connects(sockets_held()) {
+                return;
+            }
+            let Some(way) = shared.hosts.next_asked_to_release(&self.held.server, asked) else { return };
+            asked.push(way.clone());
+            let (shared, held, calls) = (shared.clone(), self.held.clone(), calls.clone());
+            let (reason, new) = (self.reason, release::wants_new_connection(number, call));
+            spawn(move || {
+                let from = Instant::now();
+                let answer = ask(&shared, &way, &held.id, new);
+                calls.note(&way, answer);
+                let (Held { id, server, sure }, host) = (&*held, &way.name);
+                let ms = from.elapsed().as_millis() as u64;
+                tracing::debug!(id, server, sure, ?reason, host, number, new, ?answer, ms, "release");
+            });
         }
     }
 
-    fn ask(&self, way: &Way, within: Duration) -> Result<(), Fault> {
-        let (shared, until) = (&self.shared, Instant::now() + within);
-        let (link, _) = shared.link(way, within)?;
-        // Told to drain or gone meanwhile.
-        if !way.open() {
-            return Err(Fault::NoConnection);
+    fn note_done(&self, from: Instant) {
+        let (shared, took) = (&self.shared, from.elapsed());
+        shared.releases.done.fetch_add(1, Ordering::Relaxed);
+        if took > release::left_after_it_is_owed(shared.release) {
+            shared.releases.late.fetch_add(1, Ordering::Relaxed);
+            let Held { id, server, sure } = &*self.held;
+            tracing::warn!(id, server, sure, ms = took.as_millis() as u64, "a held state was released late");
         }
-        link.write(host::release(&way.name, &self.id).as_bytes(), until)?;
-        let mut reply = Reply::new(link, ANSWER);
-        let head = reply.head(until)?;
-        reply.whole_body(until)?;
-        give_back(shared, way, reply);
-        if head.status < 300 { Ok(()) } else { Err(Fault::Rubbish) }
     }
 }
 
-impl Drop for LettingGo {
+impl Drop for Release {
     fn drop(&mut self) {
         self.shared.unsettled.fetch_sub(1, Ordering::SeqCst);
     }
 }
+
+impl Calls {
+    fn note(&self, way: &Way, answer: Result<(), Fault>) {
+        way.answers(answer.is_ok());
+        match answer {
+            Ok(()) => self.is_answered.store(true, Ordering::Release),
+            Err(fault) => *lock(&self.last_fault) = fault,
+        }
+    }
+
+    /// Whether any call is answered by then; waits no longer than that takes.
+    fn is_answered_within(&self, span: Duration) -> bool {
+        let until = Instant::now() + span;
+        loop {
+            if self.is_answered.load(Ordering::Acquire) {
+                return true;
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            tulipstall_net::sleep(left.min(LOOKS));
+        }
+    }
+}
+
+/// One call to one server, over a new connection if wanted. Only an answer shows that it has arrived.
+fn ask(shared: &Shared, way: &Way, id: &str, new: bool) -> Result<(), Fault> {
+    let within = release::within(shared.release);
+    let until = Instant::now() + within;
+    let link = if new {
+        Link::connect(&way.address(), shared.connect.min(within))?
+    } else {
+        shared.link(way, within)?.0
+    };
+    // Told to drain or gone meanwhile.
+    if !way.open() {
+        return Err(Fault::NoConnection);
+    }
+    link.write(host::release(&way.name, id).as_bytes(), until)?;
+    let mut reply = Reply::new(link, ANSWER);
+    let head = reply.head(until)?;
+    reply.whole_body(until)?;
+    give_back(shared, way, reply);
+    if head.status < 300 { Ok(()) } else { Err(Fault::Rubbish) }
+}
