Release a state again if the attempt that it was released under ends without it

Its release leaves a state that an attempt waits for, so that a writer that hung and was given up left the state held, while the decisions took it for released.

Change: a state that was released under an attempt is held to be left once that attempt has ended without an answer that proves it fetched or gone: it has its time again, and is released with the request at the latest.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -186,6 +186,9 @@
     /// The first shot that may have run, of all of the task and of what it goes on with.
     ran: Option<Ran>,
     held: Option<Held>,
+    /// The state that was released while an attempt was out, which may have waited for it: released again if the attempt
+    /// ends without it.
+    released_under_attempt: Option<Held>,
     /// States that reads may have left which told no good end, or told it late: let go of with the task.
     left: Vec<Held>,
 }
@@ -555,6 +558,7 @@
         out.extend(life.may_have_run(ran).then_some(Output::Ran { task, ran }));
         // The writer has fetched it.
         life.held = None;
+        life.released_under_attempt = None;
         self.call_off(task, Some(shot), out);
         self.tell(now, Event::Started { task: task.place, shot }, out);
     }
@@ -590,6 +594,10 @@
             self.note_read(now, task, host, &end);
         }
         let Some(life) = self.life(task) else { return };
+        let released = life.released_under_attempt.take();
+        if !matches!(outcome, Outcome::Delivered | Outcome::Spoilt | Outcome::NoState) {
+            life.leaves(released);
+        }
         match outcome {
             Outcome::Delivered | Outcome::Spoilt => life.held = None,
             // Its writer found none: it may be where only that writer can't reach it. Holds against cut off readers.
@@ -671,8 +679,11 @@
                 let task = id(&self.lives, task);
                 let Some(life) = self.life(task) else { return };
                 // What a read may have left is told of again with the end of the task, as it may come yet.
-                let left = if reason == ReleaseReason::Unused { &[] } else { &life.left[..] };
                 let held = life.held.take();
+                if reason == ReleaseReason::Unanswered {
+                    life.released_under_attempt = held.clone();
+                }
+                let left = if reason == ReleaseReason::Unused { &[] } else { &life.left[..] };
                 let known = |left: &&Held| held.as_ref().is_none_or(|held| held.state != left.state);
                 let all = left.iter().filter(known).cloned().chain(held.clone());
                 out.extend(all.map(|held| Output::Release { held, sure: true, reason }));
--- a/src/release.rs
+++ b/src/release.rs
@@ -33,6 +33,9 @@
     reader: Option<u32>,
     /// Whether a state may be left anywhere else: a read that ended without an answer, or one that a writer did not find.
     left: bool,
+    /// Whether it was released while an attempt was out. If that has arrived and waits for the state, servers may keep the
+    /// state for it, and so hold it again once the attempt has ended without it.
+    released_under_attempt: bool,
     /// When an attempt was last known to be at a server.
     since: Duration,
 }
@@ -48,6 +51,8 @@
         if outcome.is_answered() || !self.is_any() {
             self.since = now;
         }
+        let is_fetched = matches!(outcome, Outcome::Delivered | Outcome::Spoilt | Outcome::NoState);
+        self.left |= std::mem::take(&mut self.released_under_attempt) && !is_fetched;
         match outcome {
             Outcome::Read => self.reader = Some(server),
             Outcome::NoState => self.left |= self.reader.take().is_some(),
@@ -59,13 +64,15 @@
 
     /// A writer's answer has begun, so that it has fetched the state: from which reader.
     pub(crate) fn fetched(&mut self) -> Option<u32> {
+        self.released_under_attempt = false;
         self.reader.take()
     }
 
-    /// All of it is released from now on; whether there may have been any.
-    pub(crate) fn release(&mut self) -> bool {
+    /// All of it is released from now on, while an attempt is out or not; whether there may have been any.
+    pub(crate) fn release(&mut self, any_out: bool) -> bool {
         let any = self.is_any();
         (self.reader, self.left) = (None, false);
+        self.released_under_attempt |= any && any_out;
         any
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -802,7 +802,10 @@
         let barred = !task.ran().all(|shot| told.again(shot, None, now));
         let late = now + Duration::from_secs_f64(0.5 * self.first_time[0]) >= stop;
         let release_at = held.and_then(|_| task.held.release_at(stated, false));
-        let pinned = release_at.is_some_and(|at| at <= now);
+        // One that was given up after it was written leaves its state to another writer for somewhat longer.
+        let was_written = task.shots.last().is_some_and(|shot| shot.may_have_run);
+        let held_until = held.and_then(|_| task.held.release_at(stated, was_written));
+        let pinned = held_until.is_some_and(|at| at <= now);
         let wait_until = release_at.unwrap_or(task.wait_until);
         if late || pinned || barred || task.shots.len() >= most || (first && !self.room(t)) {
             return self.give_up(t);
@@ -896,11 +899,11 @@
             out.push(Action::Cancel { task: number, shot: i as u32 });
         }
         let any_out = task.shots.iter().any(|shot| shot.out);
-        if task.want.release && task.held.release() {
+        if task.want.release && task.held.release(any_out) {
             let reason = if any_out { ReleaseReason::Unanswered } else { ReleaseReason::Left };
             out.push(Action::Release { task: number, reason });
         }
-        if !task.want.keep && !any_out && task.held.reader().is_some() && task.held.release() {
+        if !task.want.keep && !any_out && task.held.release(any_out) {
             out.push(Action::Release { task: number, reason: ReleaseReason::Unused });
         }
         if task.ended && !any_out {
