Release with the request only what is known to have been made

What such reads may have left is released by the core with the request, as before. A state that was released under an attempt is told apart now.

--- a/src/release.rs
+++ b/src/release.rs
@@ -33,6 +33,8 @@
     reader: Option<u32>,
     /// Whether a state may be left anywhere else: a read that ended without an answer, or one that a writer did not find.
     left: bool,
+    /// Whether a state that was released may be held all the same.
+    kept: bool,
     /// Whether it was released while an attempt was out. If that has arrived and waits for the state, servers may keep the
     /// state for it, and so hold it again once the attempt has ended without it.
     released_under_attempt: bool,
@@ -52,7 +54,7 @@
             self.since = now;
         }
         let is_fetched = matches!(outcome, Outcome::Delivered | Outcome::Spoilt | Outcome::NoState);
-        self.left |= std::mem::take(&mut self.released_under_attempt) && !is_fetched;
+        self.kept |= std::mem::take(&mut self.released_under_attempt) && !is_fetched;
         match outcome {
             Outcome::Read => self.reader = Some(server),
             Outcome::NoState => self.left |= self.reader.take().is_some(),
@@ -71,7 +73,7 @@
     /// All of it is released from now on, while an attempt is out or not; whether there may have been any.
     pub(crate) fn release(&mut self, any_out: bool) -> bool {
         let any = self.is_any();
-        (self.reader, self.left) = (None, false);
+        (self.reader, self.left, self.kept) = (None, false, false);
         self.released_under_attempt |= any && any_out;
         any
     }
@@ -87,7 +89,12 @@
         self.reader.map(|_| self.since + stated.mul_f64(OTHER_WRITER_AT))
     }
 
+    /// Whether a state is known to have been made that nobody is known to have fetched: it is released with the request.
+    pub(crate) fn is_known(&self) -> bool {
+        self.reader.is_some() || self.kept
+    }
+
     fn is_any(&self) -> bool {
-        self.reader.is_some() || self.left
+        self.is_known() || self.left
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -903,7 +903,7 @@
             let reason = if any_out { ReleaseReason::Unanswered } else { ReleaseReason::Left };
             out.push(Action::Release { task: number, reason });
         }
-        if !task.want.keep && !any_out && task.held.release(any_out) {
+        if !task.want.keep && !any_out && task.held.is_known() && task.held.release(any_out) {
             out.push(Action::Release { task: number, reason: ReleaseReason::Unused });
         }
         if task.ended && !any_out {
