Review case 2: unfinished requests take the dispatcher over its memory limit

Cause: memory_mb is never read; what one connection may hold is bounded, and so is their number, but not the product. Change: a test beside the program, review/2; nothing is mended.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -5,6 +5,7 @@
 pub fn run(case: &str, root: &Path, scratch: &Path, trouble: bool, record: &Arc<Record>) -> i32 {
     match case {
         "late-second-answer" => late_second_answer(root, scratch, trouble, record),
+        "unfinished-requests" => unfinished_requests(root, scratch, trouble, record),
         _ => 2,
     }
 }
@@ -187,3 +188,148 @@
     // Not a sound run, if most requests are not served.
     if figure(whole) * 10 < figure(sent) * 8 { 2 } else { 0 }
 }
+
+/// A usual writer: it takes the state of the request and streams the answer.
+fn usual_writer(record: Arc<Record>, name: &'static str, states: Arc<States>) -> SocketAddr {
+    listen("127.0.0.1", move |stream| {
+        let mut reader = Reader::new(stream);
+        while let Some((call, true)) = reader.message() {
+            let id = txn(&call);
+            if call.start.starts_with("DELETE") {
+                let id = call.start.split(['/', ' ']).nth(4).unwrap_or_default().to_owned();
+                states.take(&id);
+                if reader.stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_err() {
+                    return;
+                }
+                continue;
+            }
+            if !states.take(&id) {
+                record.line(&format!("{name} has no state for {id}"));
+                let gone = b"HTTP/1.1 410 Gone\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+                if reader.stream.write_all(gone).is_err() {
+                    return;
+                }
+                continue;
+            }
+            record.line(&format!("{name} runs {id}"));
+            thread::sleep(ms(FIRST_TOKEN_MS));
+            let first = STREAM_HEAD.to_owned() + &chunk(&event(&id, 0));
+            let mut written = reader.stream.write_all(first.as_bytes());
+            for number in 1..EVENTS {
+                thread::sleep(ms(EVENT_PAUSE_MS));
+                written = written.and_then(|()| reader.stream.write_all(chunk(&event(&id, number)).as_bytes()));
+            }
+            let end = chunk(&last_events()) + "0\r\n\r\n";
+            if written.and_then(|()| reader.stream.write_all(end.as_bytes())).is_err() {
+                return record.line(&format!("{name} can't write to the end for {id}"));
+            }
+        }
+    })
+}
+
+/// Hundreds of bad clients send most of a request and stay. The stand-in for the platform kills the dispatcher
+/// once it is over `memory_mb`, as the platform does.
+fn unfinished_requests(root: &Path, scratch: &Path, trouble: bool, record: &Arc<Record>) -> i32 {
+    const MEMORY_MB: u64 = 80;
+    const SOCKETS: usize = 1024;
+    const BAD_CLIENTS: usize = 300;
+    const BODY_BYTES: usize = 256 << 10;
+    const SECONDS: u64 = 20;
+    const REQUESTS_PER_S: u64 = 10;
+    const TROUBLE_AT_S: u64 = 6;
+    let random = Arc::new(Random::new(std::process::id() as u64));
+    let states = Arc::new(States::default());
+    let mut hosts = Vec::new();
+    for (name, class, block) in [("s-r1", "prefill", 0), ("s-r2", "prefill", 1), ("s-w1", "decode", 0), ("s-w2", "decode", 1)] {
+        let dial = match class {
+            "prefill" => usual_reader(record.clone(), name, states.clone()),
+            _ => usual_writer(record.clone(), name, states.clone()),
+        };
+        hosts.push(Listed { host: name.into(), dial, site: "bangna", class, block, health: "active" });
+    }
+    let discovery = start_discovery(hosts);
+    let limits = format!("{{\"cores\":1.0,\"memory_mb\":{MEMORY_MB},\"sockets\":{SOCKETS}}}");
+    let mut node = Node::start(root, scratch, "n1", discovery, &limits, &settings(1, 0, "pure"));
+    if !node.wait_ready() {
+        return 2;
+    }
+    record.say(&format!("ready, {} kB of its own (RssAnon)", node.memory_kb("RssAnon:").unwrap_or(0)));
+    let address = node.address;
+    let tally: Arc<[AtomicUsize; 4]> = Arc::default();
+    let [sent, whole, refused, lost] = [0, 1, 2, 3];
+    let ended = flag(false);
+    let usual = {
+        let (tally, record, ended) = (tally.clone(), record.clone(), ended.clone());
+        thread::spawn(move || {
+            let mut clients = Vec::new();
+            while !ended.load(Ordering::SeqCst) {
+                thread::sleep(ms(1000 / REQUESTS_PER_S));
+                let (tally, record, id) = (tally.clone(), record.clone(), format!("{:016x}", random.next()));
+                clients.push(thread::spawn(move || {
+                    tally[sent].fetch_add(1, Ordering::SeqCst);
+                    let call = request(&id, &id, 5000, &usual_body());
+                    let answer = TcpStream::connect(address).ok().and_then(|mut stream| {
+                        let _ = stream.set_read_timeout(Some(ms(10_000)));
+                        stream.write_all(call.as_bytes()).ok()?;
+                        Reader::new(stream).message()
+                    });
+                    let (kind, text) = match &answer {
+                        Some((answer, true)) if answer.start.contains(" 200 ") => (whole, "a whole answer"),
+                        Some((answer, true)) if answer.start.contains(" 503 ") => (refused, "a refusal"),
+                        _ => (lost, "no whole answer"),
+                    };
+                    tally[kind].fetch_add(1, Ordering::SeqCst);
+                    record.line(&format!("usual client {id}: {text}"));
+                }));
+            }
+            clients.into_iter().for_each(|client| client.join().expect("no panic"));
+        })
+    };
+    let answered = Arc::new(AtomicUsize::new(0));
+    let from = Instant::now();
+    let (mut bad, mut highest, mut code, mut noted) = (Vec::new(), 0, 0, 0);
+    while from.elapsed() < ms(SECONDS * 1000) && code == 0 {
+        if trouble && bad.is_empty() && from.elapsed() >= ms(TROUBLE_AT_S * 1000) {
+            record.say(&format!("{BAD_CLIENTS} clients send all but 4 bytes of a request of {BODY_BYTES} bytes, and stay"));
+            for i in 0..BAD_CLIENTS {
+                let answered = answered.clone();
+                let client = move || {
+                    let Ok(mut stream) = TcpStream::connect(address) else { return };
+                    let call = request(&format!("{i:016x}"), "5", 5000, &"x".repeat(BODY_BYTES));
+                    let _ = stream.set_read_timeout(Some(ms(6000)));
+                    let _ = stream.write_all(&call.as_bytes()[..call.len() - 4]);
+                    // An error or a close within 3 s is what such a client is owed.
+                    let since = Instant::now();
+                    let _ = stream.read(&mut [0; 512]);
+                    answered.fetch_add(usize::from(since.elapsed() < ms(3000)), Ordering::SeqCst);
+                };
+                bad.push(thread::Builder::new().stack_size(128 << 10).spawn(client).expect("a thread"));
+            }
+        }
+        let kb = node.memory_kb("RssAnon:").unwrap_or(0);
+        if kb >= highest + 4096 || from.elapsed().as_secs() > noted {
+            noted = from.elapsed().as_secs();
+            record.line(&format!("the dispatcher has {kb} kB of its own (RssAnon)"));
+        }
+        highest = highest.max(kb);
+        if kb > MEMORY_MB * 1024 {
+            let _ = node.child.kill();
+            record.say(&format!("BROKEN: {kb} kB of memory of its own (RssAnon), over memory_mb {MEMORY_MB}: the dispatcher is killed"));
+            code = 1;
+        } else if node.has_ended() {
+            record.say("BROKEN: the dispatcher has ended by itself");
+            code = 1;
+        }
+        thread::sleep(ms(5));
+    }
+    ended.store(true, Ordering::SeqCst);
+    usual.join().expect("no panic");
+    bad.into_iter().for_each(|client| client.join().expect("no panic"));
+    let figure = |kind: usize| count(&tally[kind]);
+    record.say(&format!(
+        "highest {highest} kB; usual clients: {} sent, {} whole, {} refused, {} with no whole answer; bad clients \
+         with an error or a close within 3 s: {} of {}",
+        figure(sent), figure(whole), figure(refused), figure(lost), count(&answered), if trouble { BAD_CLIENTS } else { 0 }
+    ));
+    if code == 0 && figure(whole) * 10 < figure(sent) * 8 { 2 } else { code }
+}
