Review case 3: requests wait for seconds while a large fleet is replaced

Cause: each list costs work by the square of the number of hosts, lists queue before requests, and the watch is asked again before a list is taken in. Change: a test beside the program, review/3; nothing is mended.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -6,6 +6,7 @@
     match case {
         "late-second-answer" => late_second_answer(root, scratch, trouble, record),
         "unfinished-requests" => unfinished_requests(root, scratch, trouble, record),
+        "replaced-fleet" => replaced_fleet(root, scratch, trouble, record),
         _ => 2,
     }
 }
@@ -19,7 +20,7 @@
 const FIRST_TOKEN_MS: u64 = 60;
 const READ_MS: u64 = 80;
 
-fn usual_reader(record: Arc<Record>, name: &'static str, states: Arc<States>) -> SocketAddr {
+fn usual_reader(record: Arc<Record>, name: String, states: Arc<States>) -> SocketAddr {
     listen("127.0.0.1", move |stream| {
         let mut reader = Reader::new(stream);
         while let Some((call, true)) = reader.message() {
@@ -54,7 +55,7 @@
     let second_answers = Arc::new(AtomicUsize::new(0));
     let mut hosts = Vec::new();
     for (i, name) in ["s-r1", "s-r2", "s-r3"].into_iter().enumerate() {
-        let dial = usual_reader(record.clone(), name, states.clone());
+        let dial = usual_reader(record.clone(), name.into(), states.clone());
         let block = i as u32 % 2;
         hosts.push(Listed { host: name.into(), dial, site: "bangna", class: "prefill", block, health: "active" });
     }
@@ -112,7 +113,7 @@
         let block = i as u32 % 2;
         hosts.push(Listed { host: name.into(), dial, site: "bangna", class: "decode", block, health: "active" });
     }
-    let discovery = start_discovery(hosts);
+    let discovery = start_discovery(hosts, Changes::default());
     let start = |i: usize| {
         let name = format!("n{}", i + 1);
         Node::start(root, scratch, &name, discovery, USUAL_LIMITS, &settings(2, i, "pure"))
@@ -190,7 +191,7 @@
 }
 
 /// A usual writer: it takes the state of the request and streams the answer.
-fn usual_writer(record: Arc<Record>, name: &'static str, states: Arc<States>) -> SocketAddr {
+fn usual_writer(record: Arc<Record>, name: String, states: Arc<States>) -> SocketAddr {
     listen("127.0.0.1", move |stream| {
         let mut reader = Reader::new(stream);
         while let Some((call, true)) = reader.message() {
@@ -242,12 +243,12 @@
     let mut hosts = Vec::new();
     for (name, class, block) in [("s-r1", "prefill", 0), ("s-r2", "prefill", 1), ("s-w1", "decode", 0), ("s-w2", "decode", 1)] {
         let dial = match class {
-            "prefill" => usual_reader(record.clone(), name, states.clone()),
-            _ => usual_writer(record.clone(), name, states.clone()),
+            "prefill" => usual_reader(record.clone(), name.into(), states.clone()),
+            _ => usual_writer(record.clone(), name.into(), states.clone()),
         };
         hosts.push(Listed { host: name.into(), dial, site: "bangna", class, block, health: "active" });
     }
-    let discovery = start_discovery(hosts);
+    let discovery = start_discovery(hosts, Changes::default());
     let limits = format!("{{\"cores\":1.0,\"memory_mb\":{MEMORY_MB},\"sockets\":{SOCKETS}}}");
     let mut node = Node::start(root, scratch, "n1", discovery, &limits, &settings(1, 0, "pure"));
     if !node.wait_ready() {
@@ -333,3 +334,111 @@
     ));
     if code == 0 && figure(whole) * 10 < figure(sent) * 8 { 2 } else { code }
 }
+
+/// Six in ten hosts of a large fleet are replaced within 7 s. Discovery tells each change as it comes.
+fn replaced_fleet(root: &Path, scratch: &Path, trouble: bool, record: &Arc<Record>) -> i32 {
+    const HOSTS: usize = 2000;
+    const DISPATCHERS: usize = 600;
+    const REPLACED: usize = HOSTS * 6 / 10;
+    const WITHIN_MS: u64 = 7000;
+    /// From the first word of a host's drain to its successor's start, and to its own end.
+    const SUCCESSOR_MS: u64 = 500;
+    const DRAIN_MS: u64 = 3000;
+    const TROUBLE_AT_MS: u64 = 5000;
+    const SECONDS: u64 = 30;
+    const REMAINING_MS: u64 = 3000;
+    /// Half a second after its time an answer only earns nothing; 50 ms more for each limit on sockets.
+    const SLACK_MS: u64 = 550;
+    let random = Random::new(std::process::id() as u64);
+    let states = Arc::new(States::default());
+    let start = |name: String, i: usize| {
+        let (dial, class) = if i % 2 == 0 {
+            (usual_reader(record.clone(), name.clone(), states.clone()), "prefill")
+        } else {
+            (usual_writer(record.clone(), name.clone(), states.clone()), "decode")
+        };
+        let (site, block) = ("bangna", i as u32 / 10);
+        Listed { host: name, dial, site, class, block, health: "active" }
+    };
+    let hosts: Vec<Listed> = (0..HOSTS).map(|i| start(format!("s-{i:08x}"), i)).collect();
+    let successors: Vec<Listed> = (0..REPLACED).map(|i| start(format!("t-{i:08x}"), i)).collect();
+    let changes = Changes::default();
+    let discovery = start_discovery(hosts.clone(), changes.clone());
+    let mut node = Node::start(root, scratch, "n1", discovery, USUAL_LIMITS, &settings(DISPATCHERS, 0, "pure"));
+    if !node.wait_ready() {
+        return 2;
+    }
+    record.say(&format!("ready with {HOSTS} hosts"));
+    let from = Instant::now();
+    if trouble {
+        let record = record.clone();
+        let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        thread::spawn(move || {
+            let mut due: Vec<(u64, String)> = Vec::new();
+            for i in 0..REPLACED {
+                let at = TROUBLE_AT_MS + WITHIN_MS * i as u64 / REPLACED as u64;
+                let with = |health| Listed { health, ..hosts[i].clone() };
+                due.push((at, list_line(&with("leaving"), 0)));
+                due.push((at + SUCCESSOR_MS, list_line(&successors[i], now_ms + at + SUCCESSOR_MS)));
+                due.push((at + DRAIN_MS, list_line(&with("left"), 0)));
+            }
+            due.sort_by_key(|(at, _)| *at);
+            record.say(&format!("{REPLACED} hosts are replaced within {WITHIN_MS} ms: {} changes", due.len()));
+            for (at, line) in due {
+                thread::sleep(ms(at).saturating_sub(from.elapsed()));
+                changes.0.lock().unwrap().push(line);
+                changes.1.notify_all();
+            }
+            record.say(&format!("all changes are told after {:.1} s", from.elapsed().as_secs_f64()));
+        });
+    }
+    let address = node.address;
+    let tally: Arc<[AtomicUsize; 4]> = Arc::default();
+    let [sent, whole, refused, lost] = [0, 1, 2, 3];
+    let mut clients = Vec::new();
+    while from.elapsed() < ms(SECONDS * 1000) {
+        thread::sleep(ms(random.between(20, 180)));
+        let (tally, record, id) = (tally.clone(), record.clone(), format!("{:016x}", random.next()));
+        clients.push(thread::spawn(move || {
+            tally[sent].fetch_add(1, Ordering::SeqCst);
+            let call = request(&id, &id, REMAINING_MS, &usual_body());
+            let Ok(mut stream) = TcpStream::connect(address) else { return };
+            let _ = stream.set_read_timeout(Some(ms(12_000)));
+            let _ = stream.write_all(call.as_bytes());
+            let written = Instant::now();
+            let mut reader = Reader::new(stream);
+            // The head of an answer ends the time; a stream that has begun has no deadline.
+            let head = reader.head().map(|head| head.start);
+            let took = written.elapsed();
+            let kind = match &head {
+                _ if took > ms(REMAINING_MS + SLACK_MS) => lost,
+                Some(head) if head.contains(" 200 ") => whole,
+                Some(head) if head.contains(" 503 ") || head.contains(" 429 ") => refused,
+                _ => lost,
+            };
+            tally[kind].fetch_add(1, Ordering::SeqCst);
+            let answer = head.unwrap_or("nothing".to_owned());
+            let text = format!("client {id} sent at {:.3} s: {answer} after {:.3} s", (written - from).as_secs_f64(), took.as_secs_f64());
+            if kind == lost { record.line(&format!("BROKEN: {text}")) } else { record.line(&text) }
+            // To the stream's end.
+            if kind == whole {
+                while reader.line().is_some_and(|line| line != "data: [DONE]") {}
+            }
+        }));
+    }
+    clients.into_iter().for_each(|client| client.join().expect("no panic"));
+    let figure = |kind: usize| count(&tally[kind]);
+    record.say(&format!(
+        "{} requests with {REMAINING_MS} ms each: {} begun in time, {} refused in time, {} with no answer within {} ms",
+        figure(sent), figure(whole), figure(refused), figure(lost), REMAINING_MS + SLACK_MS
+    ));
+    if node.has_ended() {
+        record.say("BROKEN: the dispatcher has ended");
+        return 1;
+    }
+    match figure(lost) {
+        0 if figure(whole) * 10 < figure(sent) * 8 => 2,
+        0 => 0,
+        _ => 1,
+    }
+}
--- a/review/standins.rs
+++ b/review/standins.rs
@@ -2,14 +2,14 @@
 //! sub-command a case. Built by `rustc` alone; the dispatcher is started as a process of its own by the command
 //! `run` of deploy/balancer.toml.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -94,7 +94,7 @@
         }
     }
 
-    fn line(&mut self) -> Option<String> {
+    pub fn line(&mut self) -> Option<String> {
         loop {
             if let Some(end) = self.buffer.windows(2).position(|two| two == b"\r\n") {
                 let line = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
@@ -157,13 +157,14 @@
     let listener = TcpListener::bind((address, 0)).expect("a free port");
     let at = listener.local_addr().unwrap();
     let serve = Arc::new(serve);
-    thread::spawn(move || {
+    let accept = move || {
         for stream in listener.incoming().flatten() {
             let serve = serve.clone();
             let _ = stream.set_nodelay(true);
             thread::Builder::new().stack_size(128 << 10).spawn(move || serve(stream)).expect("a thread");
         }
-    });
+    };
+    thread::Builder::new().stack_size(64 << 10).spawn(accept).expect("a thread");
     at
 }
 
@@ -171,7 +172,7 @@
     TcpListener::bind((address, 0)).expect("a free port").local_addr().unwrap()
 }
 
-/// One line of discovery's list.
+/// One line of discovery's list. `born_ms` 0 means a start long ago.
 #[derive(Clone)]
 pub struct Listed {
     pub host: String,
@@ -182,29 +183,54 @@
     pub health: &'static str,
 }
 
-fn list_lines(hosts: &[Listed]) -> String {
-    let line = |h: &Listed| {
-        format!(
-            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"{}\",\"block\":{},\"health\":\"{}\",\
-             \"share\":1.0,\"born_ms\":0}}",
-            h.host, h.dial, h.site, h.class, h.block, h.health
-        )
-    };
-    hosts.iter().map(line).collect::<Vec<_>>().join(",")
+pub fn list_line(h: &Listed, born_ms: u64) -> String {
+    format!(
+        "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"{}\",\"block\":{},\"health\":\"{}\",\
+         \"share\":1.0,\"born_ms\":{born_ms}}}",
+        h.host, h.dial, h.site, h.class, h.block, h.health
+    )
 }
 
-/// Discovery: the whole list, and watches that end without a change.
-pub fn start_discovery(hosts: Vec<Listed>) -> SocketAddr {
+/// The changes that discovery has to tell, each a version of its own.
+pub type Changes = Arc<(Mutex<Vec<String>>, Condvar)>;
+
+/// Discovery's version before the first change.
+const FIRST_VERSION: usize = 41;
+
+/// Discovery: the whole list without a version, and watches, which end once something newer exists or their wait
+/// is over, with all that changed.
+pub fn start_discovery(hosts: Vec<Listed>, changes: Changes) -> SocketAddr {
+    let whole: Vec<String> = hosts.iter().map(|host| list_line(host, 0)).collect();
     listen("127.0.0.1", move |stream| {
         let mut reader = Reader::new(stream);
         while let Some((call, _)) = reader.message() {
-            let wait = call.start.split("wait=").nth(1).and_then(|rest| rest.split([' ', '&']).next());
-            let body = match wait.and_then(|wait| wait.parse().ok()) {
-                Some(wait) => {
-                    thread::sleep(ms(wait));
-                    "{\"seq\":41,\"whole\":false,\"hosts\":[]}".to_owned()
+            let value = |name: &str| {
+                let text = call.start.split(name).nth(1)?;
+                text.split([' ', '&']).next()?.parse::<usize>().ok()
+            };
+            let (told, changed) = &*changes;
+            let body = match (value("index="), value("wait=")) {
+                (Some(index), Some(wait)) => {
+                    let nothing_newer = |told: &mut Vec<String>| FIRST_VERSION + told.len() <= index;
+                    let until = ms(wait as u64);
+                    let (told, _) = changed.wait_timeout_while(told.lock().unwrap(), until, nothing_newer).unwrap();
+                    let newer = told[(index - FIRST_VERSION).min(told.len())..].join(",");
+                    format!("{{\"seq\":{},\"whole\":false,\"hosts\":[{newer}]}}", FIRST_VERSION + told.len())
+                }
+                _ => {
+                    let told = told.lock().unwrap();
+                    let mut all: BTreeMap<&str, &str> = BTreeMap::new();
+                    for line in whole.iter().chain(told.iter()) {
+                        let name = line.split("\",").next().unwrap();
+                        if line.contains("\"health\":\"left\"") {
+                            all.remove(name);
+                        } else {
+                            all.insert(name, line);
+                        }
+                    }
+                    let all = all.into_values().collect::<Vec<_>>().join(",");
+                    format!("{{\"seq\":{},\"whole\":true,\"hosts\":[{all}]}}", FIRST_VERSION + told.len())
                 }
-                None => format!("{{\"seq\":41,\"whole\":true,\"hosts\":[{}]}}", list_lines(&hosts)),
             };
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
             if reader.stream.write_all(answer.as_bytes()).is_err() {
