--- /dev/null
+++ b/crates/node/src/client.rs
@@ -0,0 +1,233 @@
+//! Clients' connections as their coroutines and the eviction of clients share them.
+
+use crate::{Shared, lock};
+use slab::Slab;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tulipstall_net::{Fault, Link, READ_BUFFER_BYTES};
+use tulipstall_platform::socket_budget::{EvictionCandidate, MAX_DISCARDED_BYTES, NEW_CONNECTION_GRACE};
+
+/// Time limit for a write to a client that does not read.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A complete answer that is not a stream.
+pub fn plain_response(status: u16, why: &str, keep_alive: bool, retry_after: Option<Duration>) -> String {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        409 => "Conflict",
+        503 => "Service Unavailable",
+        _ => "Error",
+    };
+    let body = if status == 200 { String::new() } else { format!("{{\"error\":\"{why}\"}}") };
+    let after =
+        retry_after.map_or(String::new(), |after| format!("Retry-After: {:.3}\r\n", after.as_secs_f64()));
+    let close = if keep_alive { "" } else { "Connection: close\r\n" };
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n{after}{close}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// State of a connection that its two coroutines share with the eviction of clients.
+pub struct Client {
+    pub link: Link,
+    has_left: AtomicBool,
+    /// Requests that are read and not answered yet, and flags; zero if the connection is idle.
+    busy: AtomicUsize,
+    /// The number of answered requests.
+    answered: AtomicUsize,
+    /// The host connection of the stream that the client receives, shut when the client disconnects.
+    stream_host: Mutex<Option<Link>>,
+    /// When the connection was accepted; later, when its last answer ended.
+    since: Mutex<Instant>,
+}
+
+/// Flag in `busy`: the connection was closed as idle, and requests read from then on are ignored.
+const ENDED_FLAG: usize = 1 << (usize::BITS - 1);
+/// Flag in `busy`: part of a request has been received; once it is whole it has to be answered.
+const PARTIAL_FLAG: usize = ENDED_FLAG >> 1;
+/// Mask of `busy` for the number of whole requests.
+const COUNT_MASK: usize = PARTIAL_FLAG - 1;
+
+impl Client {
+    pub fn new(link: Link) -> Arc<Client> {
+        Arc::new(Client {
+            link,
+            has_left: AtomicBool::new(false),
+            busy: AtomicUsize::new(0),
+            answered: AtomicUsize::new(0),
+            stream_host: Mutex::new(None),
+            since: Mutex::new(Instant::now()),
+        })
+    }
+
+    pub fn write(&self, bytes: &[u8]) -> Result<(), Fault> {
+        self.link.write(bytes, Instant::now() + WRITE_TIMEOUT)
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.has_left.load(Ordering::Acquire)
+    }
+
+    /// Whether the client has disconnected, even if its reader has not noticed yet.
+    pub fn is_gone(&self) -> bool {
+        self.has_left() || self.link.is_closed_by_peer()
+    }
+
+    /// Changes `busy` unless the connection has been ended.
+    fn update_busy(&self, change: impl Fn(usize) -> usize) -> Option<usize> {
+        let change = |busy: usize| (busy & ENDED_FLAG == 0).then(|| change(busy));
+        self.busy.fetch_update(Ordering::SeqCst, Ordering::SeqCst, change).ok()
+    }
+
+    /// Counts one more request: returns how many are open with it, or `None` if the connection has been
+    /// ended.
+    pub fn begin_request(&self) -> Option<usize> {
+        self.update_busy(|busy| (busy & !PARTIAL_FLAG) + 1).map(|before| (before & COUNT_MASK) + 1)
+    }
+
+    /// Records whether part of a request has been received; false if the connection has been ended.
+    pub fn set_partial(&self, partial: bool) -> bool {
+        self.update_busy(|busy| if partial { busy | PARTIAL_FLAG } else { busy & !PARTIAL_FLAG }).is_some()
+    }
+
+    /// Records an answer: returns whether another request waits, and whether part of one has been received.
+    pub fn end_request(&self) -> (bool, bool) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        *lock(&self.since) = Instant::now();
+        let before = self.busy.fetch_sub(1, Ordering::SeqCst);
+        ((before & COUNT_MASK) > 1, before & PARTIAL_FLAG != 0)
+    }
+
+    /// Whether part of a request has been received.
+    pub fn has_partial(&self) -> bool {
+        self.busy.load(Ordering::SeqCst) & PARTIAL_FLAG != 0
+    }
+
+    /// Whether a whole request waits for its answer.
+    pub fn has_request(&self) -> bool {
+        self.busy.load(Ordering::SeqCst) & COUNT_MASK > 0
+    }
+
+    pub fn since(&self) -> Instant {
+        *lock(&self.since)
+    }
+
+    /// Ends the connection if `ends` holds for `busy`; returns whether it did.
+    fn end_if(&self, ends: impl Fn(usize) -> bool) -> bool {
+        let ended = |busy| ends(busy).then_some(ENDED_FLAG);
+        let before = self.busy.fetch_update(Ordering::SeqCst, Ordering::SeqCst, ended);
+        if let Ok(before) = before {
+            if before & PARTIAL_FLAG != 0 {
+                let _ = self
+                    .link
+                    .write_available(plain_response(408, "too many connections", false, None).as_bytes());
+            }
+            self.has_left.store(true, Ordering::Release);
+            self.link.shut();
+        }
+        before.is_ok()
+    }
+
+    /// Ends the connection if no part of a request has been received; if a request arrives at the same
+    /// moment, only one of the two takes effect.
+    pub fn end_if_idle(&self) -> bool {
+        self.end_if(|busy| busy == 0)
+    }
+
+    /// Like [`Client::end_if_idle`], also if part of a request has been received: then the client gets an
+    /// answer that says so.
+    fn end_if_no_whole_request(&self) -> bool {
+        self.end_if(|busy| busy & !PARTIAL_FLAG == 0)
+    }
+
+    /// Reads and discards input up to a limit, so that the client's disconnect is noticed; ends when the
+    /// requests read before have been answered, as that closes the connection.
+    pub fn discard_input(&self) {
+        let (mut buffer, mut remaining) = ([0; READ_BUFFER_BYTES], MAX_DISCARDED_BYTES);
+        while remaining > 0 {
+            match self.link.read_until(&mut buffer, None) {
+                Ok(got) if got > 0 => remaining = remaining.saturating_sub(got),
+                _ => return,
+            }
+        }
+    }
+
+    pub fn set_stream_host(&self, host: Option<&Link>) {
+        *lock(&self.stream_host) = host.cloned();
+        if let (Some(host), true) = (host, self.has_left()) {
+            host.shut();
+        }
+    }
+
+    pub fn mark_left(&self) {
+        self.has_left.store(true, Ordering::Release);
+        if let Some(host) = &*lock(&self.stream_host) {
+            host.shut();
+        }
+    }
+}
+
+/// All clients' connections.
+#[derive(Default)]
+pub struct Clients {
+    open: Mutex<Slab<Arc<Client>>>,
+}
+
+impl Clients {
+    pub fn add(&self, client: Arc<Client>) -> usize {
+        lock(&self.open).insert(client)
+    }
+
+    pub fn remove(&self, index: usize) {
+        lock(&self.open).try_remove(index);
+    }
+
+    pub fn count(&self) -> usize {
+        lock(&self.open).len()
+    }
+
+    /// The number of clients without those that are being closed.
+    pub fn present_count(&self) -> usize {
+        lock(&self.open).iter().filter(|(_, client)| !client.has_left()).count()
+    }
+
+    /// Closes every connection without a request. One that was just accepted is left open for the time in
+    /// which its client sends the first request.
+    pub fn close_idle(&self) {
+        for (_, client) in lock(&self.open).iter() {
+            let is_new = client.answered.load(Ordering::Relaxed) == 0
+                && client.since().elapsed() < NEW_CONNECTION_GRACE;
+            if !is_new {
+                client.end_if_idle();
+            }
+        }
+    }
+
+    /// Evicts a client to make room for one more; returns whether one could be evicted.
+    pub fn evict_for_new_client(&self, shared: &Shared) -> bool {
+        let open = lock(&self.open);
+        let candidates = open.iter().filter(|(_, client)| !client.has_request() && !client.has_left());
+        let candidates = candidates.map(|(index, client)| {
+            let since = client.since().saturating_duration_since(shared.start);
+            (
+                index,
+                EvictionCandidate {
+                    since,
+                    partial: client.has_partial(),
+                    answered_before: client.answered.load(Ordering::Relaxed) > 0,
+                },
+            )
+        });
+        shared
+            .socket_budget
+            .client_to_evict(candidates)
+            .is_some_and(|index| open[index].end_if_no_whole_request())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,40 +2,24 @@
 //! the other answers them in order.
 
 use crate::attempt::BegunStream;
+use crate::client::{Client, plain_response};
 use crate::owner::OwnerMessage;
+use crate::receive::read_requests;
 use crate::task::Task;
 use crate::{Shared, lock, relay};
 use may::sync::mpsc::{Receiver, Sender, channel};
-use slab::Slab;
 use std::collections::VecDeque;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tulipstall_core::TaskId;
-use tulipstall_http1::{Limits, RequestError, RequestEvent, RequestHead, RequestReader};
+use tulipstall_http1::{RequestError, RequestHead};
 use tulipstall_net::errors::{self, Cause};
-use tulipstall_net::{Fault, Link, Listener, READ_BUFFER_BYTES, open_sockets, spawn};
-use tulipstall_platform::call::{self, MAX_BODY_BYTES, Rejection};
+use tulipstall_net::{Listener, open_sockets, spawn};
+use tulipstall_platform::call::{self, Rejection};
 use tulipstall_platform::host::ForwardedCall;
-use tulipstall_platform::socket_budget::{
-    Eviction, EvictionCandidate, FIRST_BYTE_TIMEOUT, LINGER_TIMEOUT, MAX_DISCARDED_BYTES, MAX_READ_AHEAD,
-    NEW_CONNECTION_GRACE, REQUEST_TIMEOUT,
-};
-
-const REQUEST_LIMITS: Limits = Limits {
-    max_head_bytes: 8192,
-    max_line_bytes: 4096,
-    max_header_lines: 48,
-    max_body_bytes: MAX_BODY_BYTES,
-};
-
-/// The answer to a client that has sent too many requests ahead. Clients send one at a time, and unread
-/// requests would hide whether the client is still connected.
-const TOO_FAR_AHEAD: RequestError = RequestError::Malformed("too many requests at once");
-
-/// Time limit for a write to a client that does not read.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+use tulipstall_platform::socket_budget::{Eviction, LINGER_TIMEOUT, REQUEST_TIMEOUT};
 
 /// Messages to the coroutine that answers.
 pub enum Message {
@@ -64,200 +48,6 @@
     },
 }
 
-/// State of a connection that its two coroutines share with the eviction of clients.
-pub struct Client {
-    link: Link,
-    has_left: AtomicBool,
-    /// Requests that are read and not answered yet, and flags; zero if the connection is idle.
-    busy: AtomicUsize,
-    /// The number of answered requests.
-    answered: AtomicUsize,
-    /// The host connection of the stream that the client receives, shut when the client disconnects.
-    stream_host: Mutex<Option<Link>>,
-    /// When the connection was accepted; later, when its last answer ended.
-    since: Mutex<Instant>,
-}
-
-/// Flag in `busy`: the connection was closed as idle, and requests read from then on are ignored.
-const ENDED_FLAG: usize = 1 << (usize::BITS - 1);
-/// Flag in `busy`: part of a request has been received; once it is whole it has to be answered.
-const PARTIAL_FLAG: usize = ENDED_FLAG >> 1;
-/// Mask of `busy` for the number of whole requests.
-const COUNT_MASK: usize = PARTIAL_FLAG - 1;
-
-impl Client {
-    pub fn new(link: Link) -> Arc<Client> {
-        Arc::new(Client {
-            link,
-            has_left: AtomicBool::new(false),
-            busy: AtomicUsize::new(0),
-            answered: AtomicUsize::new(0),
-            stream_host: Mutex::new(None),
-            since: Mutex::new(Instant::now()),
-        })
-    }
-
-    pub fn write(&self, bytes: &[u8]) -> Result<(), Fault> {
-        self.link.write(bytes, Instant::now() + WRITE_TIMEOUT)
-    }
-
-    pub fn has_left(&self) -> bool {
-        self.has_left.load(Ordering::Acquire)
-    }
-
-    /// Whether the client has disconnected, even if its reader has not noticed yet.
-    pub fn is_gone(&self) -> bool {
-        self.has_left() || self.link.is_closed_by_peer()
-    }
-
-    /// Changes `busy` unless the connection has been ended.
-    fn update_busy(&self, change: impl Fn(usize) -> usize) -> Option<usize> {
-        let change = |busy: usize| (busy & ENDED_FLAG == 0).then(|| change(busy));
-        self.busy.fetch_update(Ordering::SeqCst, Ordering::SeqCst, change).ok()
-    }
-
-    /// Counts one more request: returns how many are open with it, or `None` if the connection has been
-    /// ended.
-    fn begin_request(&self) -> Option<usize> {
-        self.update_busy(|busy| (busy & !PARTIAL_FLAG) + 1).map(|before| (before & COUNT_MASK) + 1)
-    }
-
-    /// Records whether part of a request has been received; false if the connection has been ended.
-    fn set_partial(&self, partial: bool) -> bool {
-        self.update_busy(|busy| if partial { busy | PARTIAL_FLAG } else { busy & !PARTIAL_FLAG }).is_some()
-    }
-
-    /// Records an answer: returns whether another request waits, and whether part of one has been received.
-    fn end_request(&self) -> (bool, bool) {
-        self.answered.fetch_add(1, Ordering::Relaxed);
-        *lock(&self.since) = Instant::now();
-        let before = self.busy.fetch_sub(1, Ordering::SeqCst);
-        ((before & COUNT_MASK) > 1, before & PARTIAL_FLAG != 0)
-    }
-
-    /// Whether part of a request has been received.
-    fn has_partial(&self) -> bool {
-        self.busy.load(Ordering::SeqCst) & PARTIAL_FLAG != 0
-    }
-
-    /// Whether a whole request waits for its answer.
-    fn has_request(&self) -> bool {
-        self.busy.load(Ordering::SeqCst) & COUNT_MASK > 0
-    }
-
-    fn since(&self) -> Instant {
-        *lock(&self.since)
-    }
-
-    /// Ends the connection if `ends` holds for `busy`; returns whether it did.
-    fn end_if(&self, ends: impl Fn(usize) -> bool) -> bool {
-        let ended = |busy| ends(busy).then_some(ENDED_FLAG);
-        let before = self.busy.fetch_update(Ordering::SeqCst, Ordering::SeqCst, ended);
-        if let Ok(before) = before {
-            if before & PARTIAL_FLAG != 0 {
-                let _ = self
-                    .link
-                    .write_available(plain_response(408, "too many connections", false, None).as_bytes());
-            }
-            self.has_left.store(true, Ordering::Release);
-            self.link.shut();
-        }
-        before.is_ok()
-    }
-
-    /// Ends the connection if no part of a request has been received; if a request arrives at the same
-    /// moment, only one of the two takes effect.
-    fn end_if_idle(&self) -> bool {
-        self.end_if(|busy| busy == 0)
-    }
-
-    /// Like [`Client::end_if_idle`], also if part of a request has been received: then the client gets an
-    /// answer that says so.
-    fn end_if_no_whole_request(&self) -> bool {
-        self.end_if(|busy| busy & !PARTIAL_FLAG == 0)
-    }
-
-    /// Reads and discards input up to a limit, so that the client's disconnect is noticed; ends when the
-    /// requests read before have been answered, as that closes the connection.
-    fn discard_input(&self) {
-        let (mut buffer, mut remaining) = ([0; READ_BUFFER_BYTES], MAX_DISCARDED_BYTES);
-        while remaining > 0 {
-            match self.link.read_until(&mut buffer, None) {
-                Ok(got) if got > 0 => remaining = remaining.saturating_sub(got),
-                _ => return,
-            }
-        }
-    }
-
-    pub fn set_stream_host(&self, host: Option<&Link>) {
-        *lock(&self.stream_host) = host.cloned();
-        if let (Some(host), true) = (host, self.has_left()) {
-            host.shut();
-        }
-    }
-
-    fn mark_left(&self) {
-        self.has_left.store(true, Ordering::Release);
-        if let Some(host) = &*lock(&self.stream_host) {
-            host.shut();
-        }
-    }
-}
-
-/// All clients' connections.
-#[derive(Default)]
-pub struct Clients {
-    open: Mutex<Slab<Arc<Client>>>,
-}
-
-impl Clients {
-    fn add(&self, client: Arc<Client>) -> usize {
-        lock(&self.open).insert(client)
-    }
-
-    pub fn count(&self) -> usize {
-        lock(&self.open).len()
-    }
-
-    /// The number of clients without those that are being closed.
-    fn present_count(&self) -> usize {
-        lock(&self.open).iter().filter(|(_, client)| !client.has_left()).count()
-    }
-
-    /// Closes every connection without a request. One that was just accepted is left open for the time in
-    /// which its client sends the first request.
-    pub fn close_idle(&self) {
-        for (_, client) in lock(&self.open).iter() {
-            let is_new = client.answered.load(Ordering::Relaxed) == 0
-                && client.since().elapsed() < NEW_CONNECTION_GRACE;
-            if !is_new {
-                client.end_if_idle();
-            }
-        }
-    }
-
-    /// Evicts a client to make room for one more; returns whether one could be evicted.
-    fn evict_for_new_client(&self, shared: &Shared) -> bool {
-        let open = lock(&self.open);
-        let candidates = open.iter().filter(|(_, client)| !client.has_request() && !client.has_left());
-        let candidates = candidates.map(|(index, client)| {
-            let since = client.since().saturating_duration_since(shared.start);
-            (
-                index,
-                EvictionCandidate {
-                    since,
-                    partial: client.has_partial(),
-                    answered_before: client.answered.load(Ordering::Relaxed) > 0,
-                },
-            )
-        });
-        shared
-            .socket_budget
-            .client_to_evict(candidates)
-            .is_some_and(|index| open[index].end_if_no_whole_request())
-    }
-}
-
 impl Shared {
     /// Lets the coroutines of an evicted client run. Its descriptor is free within moments: when descriptors
     /// are short, many connections arriving at once must not outrun that; otherwise there is nothing to wait
@@ -337,52 +127,6 @@
     });
 }
 
-/// Reads requests until the client disconnects.
-fn read_requests(shared: &Shared, client: &Client, inbox: &Sender<Message>) -> Message {
-    let mut reader = RequestReader::new(REQUEST_LIMITS);
-    let mut begun_at: Option<Instant> = None;
-    let mut is_first = true;
-    loop {
-        match reader.poll() {
-            Err(error) => return Message::Rejected(error),
-            Ok(RequestEvent::Request(head, body)) => {
-                (begun_at, is_first) = (None, false);
-                match client.begin_request() {
-                    Some(in_hand) if in_hand > 1 + MAX_READ_AHEAD => return Message::Rejected(TOO_FAR_AHEAD),
-                    Some(_) if inbox.send(Message::Request(head, body)).is_ok() => {}
-                    _ => return Message::Disconnected { timed_out: false },
-                }
-            }
-            Ok(RequestEvent::Continue) => {
-                let _ = inbox.send(Message::Continue);
-            }
-            Ok(RequestEvent::NeedMore { begun }) => {
-                if !client.set_partial(begun) {
-                    return Message::Disconnected { timed_out: false };
-                }
-                if begun && begun_at.is_none() {
-                    begun_at = Some(if is_first { client.since() } else { Instant::now() });
-                }
-                // Timed from the end of the answer before: while an answer is pending its connection is not
-                // ended.
-                let pending = client.has_request();
-                let until = match begun_at {
-                    Some(since) => since.max(client.since()) + REQUEST_TIMEOUT,
-                    None if is_first => client.since() + FIRST_BYTE_TIMEOUT,
-                    None => Instant::now() + shared.socket_budget.idle_timeout(shared.clients.count()),
-                };
-                let mut buffer = [0; READ_BUFFER_BYTES];
-                // No time limit while an answer is pending: the end of the last answer sets it.
-                match client.link.read_until(&mut buffer, (!pending).then_some(until)) {
-                    Ok(got) if got > 0 => reader.feed(&buffer[..got]),
-                    Err(Fault::TimedOut) => return Message::Disconnected { timed_out: begun_at.is_some() },
-                    _ => return Message::Disconnected { timed_out: false },
-                }
-            }
-        }
-    }
-}
-
 /// Informs the answering coroutine that the reading one has ended, for whatever reason.
 struct ReadingGuard {
     client: Arc<Client>,
@@ -449,7 +193,7 @@
 
 impl Drop for ClientEntry {
     fn drop(&mut self) {
-        lock(&self.shared.clients.open).try_remove(self.index);
+        self.shared.clients.remove(self.index);
     }
 }
 
@@ -466,26 +210,6 @@
     }
 }
 
-/// A complete answer that is not a stream.
-fn plain_response(status: u16, why: &str, keep_alive: bool, retry_after: Option<Duration>) -> String {
-    let reason = match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        409 => "Conflict",
-        503 => "Service Unavailable",
-        _ => "Error",
-    };
-    let body = if status == 200 { String::new() } else { format!("{{\"error\":\"{why}\"}}") };
-    let after =
-        retry_after.map_or(String::new(), |after| format!("Retry-After: {:.3}\r\n", after.as_secs_f64()));
-    let close = if keep_alive { "" } else { "Connection: close\r\n" };
-    let length = body.len();
-    format!(
-        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n{after}{close}Content-Length: {length}\r\n\r\n{body}"
-    )
-}
-
 /// The answering side of a connection.
 struct Connection {
     shared: Arc<Shared>,
@@ -681,6 +405,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,10 +4,12 @@
 //! registry.
 
 mod attempt;
+mod client;
 mod front;
 mod hosts;
 mod metrics;
 mod owner;
+mod receive;
 mod registry;
 mod relay;
 mod release;
@@ -76,7 +78,7 @@
     releases: metrics::ReleaseCounts,
     /// Ids of requests: the id of an open request cannot be used by another client.
     ids: Mutex<RequestIds>,
-    clients: front::Clients,
+    clients: client::Clients,
     /// Outcomes of reused pooled connections. Locked only for moments.
     reuse_history: Mutex<ReuseHistory>,
     /// The registry's address and the connection to it.
@@ -162,7 +164,7 @@
             unsettled: AtomicUsize::new(0),
             releases: metrics::ReleaseCounts::default(),
             ids: Mutex::new(RequestIds::new(id_retention)),
-            clients: front::Clients::default(),
+            clients: client::Clients::default(),
             reuse_history: Mutex::default(),
             registry: Mutex::new((start.discovery, None)),
             list_received: AtomicBool::new(false),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::Shared;
 use crate::attempt::{BegunStream, return_to_pool};
-use crate::front::Client;
+use crate::client::Client;
 use std::time::Instant;
 use tulipstall::interface::Outcome;
 use tulipstall_core::ShotReport;
--- a/crates/node/src/task.rs
+++ b/crates/node/src/task.rs
@@ -1,7 +1,8 @@
 //! A task and its attempts (shots) as shared between coroutines: one atomic exchange settles which of them
 //! answers the client.
 
-use crate::front::{Client, Message};
+use crate::client::Client;
+use crate::front::Message;
 use crate::lock;
 use may::sync::mpsc::Sender;
 use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
