Bound what clients can make a dispatcher hold by its memory limit

Cause: memory_mb was never read. Connections and the bytes of each were bounded, their product was not; the same held for requests read ahead, bodies kept for retries and names of sessions.

Change: the limit is divided at start; clients, tasks and names get numbers from it, requests a lease each from their first byte to the end of their last attempt. Where it is short, the unfinished request that kept most memory idle for longest is answered with 503. A settled task frees its body, and large bodies are not copied for an attempt any more.

--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// The memory of the process that is backed by no file, in KiB (`RssAnon`); 0 once it has exited.
+    pub fn anonymous_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    }
+
     /// The configuration text with the address of registry `from` replaced by that of `to`.
     pub fn config_with_registry(&self, from: &Registry, to: &Registry) -> String {
         self.config_text.replace(&from.address.to_string(), &to.address.to_string())
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -342,6 +342,12 @@
         self.prefix_source = source;
     }
 
+    /// Limits how many names of sessions, and how many of shared texts, are kept. Call it before the first input only.
+    pub fn limit_names(&mut self, max_names: usize) {
+        self.names.sessions.limit(max_names);
+        self.names.shared_texts.limit(max_names);
+    }
+
     /// The index of prompt contents, if it is in use.
     pub fn prefixes(&self) -> Option<&PrefixIndex> {
         match &self.prefix_source {
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -79,6 +79,19 @@
         matches!(self.framing, Framing::Done | Framing::UntilClose)
     }
 
+    /// The capacity of a buffer of the data once `more` bytes have been decoded into it: it is doubled as needed, but
+    /// not beyond the declared length of the body.
+    pub(crate) fn capacity_after(&self, len: usize, capacity: usize, more: usize) -> usize {
+        let doubled = doubled_capacity(len, capacity, more);
+        match self.framing {
+            Framing::Length(left) => {
+                let declared = len.saturating_add(usize::try_from(left).unwrap_or(usize::MAX));
+                doubled.min(declared).max(capacity)
+            }
+            Framing::Chunked(_) | Framing::UntilClose | Framing::Done => doubled,
+        }
+    }
+
     /// Appends the body data in `bytes` to `out` and returns how many input bytes were consumed.
     pub fn decode(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
         let mut at = 0;
@@ -88,6 +101,8 @@
                 Framing::Done => break,
                 Framing::Length(left) => {
                     let part = rest.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    let capacity = self.capacity_after(out.len(), out.capacity(), part);
+                    out.reserve_exact(capacity - out.len());
                     out.extend_from_slice(&rest[..part]);
                     at += part;
                     let left = left - part as u64;
@@ -167,6 +182,11 @@
     }
 }
 
+/// The capacity of a buffer once `more` bytes have been added, which doubles it if they do not fit.
+pub(crate) fn doubled_capacity(len: usize, capacity: usize, more: usize) -> usize {
+    if len + more <= capacity { capacity } else { (2 * capacity).max(len + more) }
+}
+
 /// Appends `data` to `out` as one chunk. Empty data is skipped: an empty chunk would end the body.
 pub fn write_chunk(data: &[u8], out: &mut Vec<u8>) {
     if data.is_empty() {
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -1,7 +1,7 @@
 //! Strict reading of HTTP requests: whatever two parsers could read differently is rejected, as it would allow request
 //! smuggling (RFC 9112 section 11.2).
 
-use crate::body::{BodyDecoder, BodyError};
+use crate::body::{BodyDecoder, BodyError, doubled_capacity};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
 
 /// Size limits for one request or response.
@@ -60,6 +60,9 @@
     }
 }
 
+/// Memory of a parsed header line beside its text: its entry in the map, and two allocations.
+const HEADER_LINE_OVERHEAD_BYTES: usize = 192;
+
 /// The request line and headers of a request.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
@@ -78,6 +81,12 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Estimate of the memory that the head occupies, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let lines = self.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+        self.target.len() + lines.map(|text_bytes| text_bytes + HEADER_LINE_OVERHEAD_BYTES).sum::<usize>()
+    }
+
     /// The request target without its query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
@@ -121,6 +130,14 @@
         }
     }
 
+    /// Memory that the request being received may occupy once up to `more` bytes have arrived, in bytes.
+    pub fn memory_bytes_after(&self, more: usize) -> usize {
+        let pending_bytes = self.pending.as_ref().map_or(0, |(head, body, data)| {
+            head.memory_bytes() + body.capacity_after(data.len(), data.capacity(), more)
+        });
+        pending_bytes + doubled_capacity(self.buffer.len(), self.buffer.capacity(), more)
+    }
+
     /// Whether a head has been read and its body is incomplete.
     pub fn in_body(&self) -> bool {
         self.pending.is_some()
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -111,6 +111,9 @@
 /// For how long a local shortage is retried.
 const LOCAL_RETRY_WINDOW: Duration = Duration::from_millis(50);
 
+/// Bytes of a body that are copied behind the request's head, to be sent with it.
+const MAX_COPIED_BODY_BYTES: usize = 32 << 10;
+
 fn time_left(until: Instant) -> Duration {
     until.saturating_duration_since(Instant::now())
 }
@@ -259,19 +262,24 @@
         self.handle.set_link(Some(&link));
         check_open()?;
         let task = &self.task;
-        let request = {
-            let Some(body) = task.body() else { return Err(Outcome::Moot) };
-            host::request(&task.call, time_left(self.deadline), &body)
-        };
+        let Some(body) = task.body() else { return Err(Outcome::Moot) };
+        let mut start = host::request_head(&task.call, time_left(self.deadline), body.len());
+        // Most requests go out in one write; the rest of a large body is not copied.
+        let (body_start, body_rest) = body.split_at(body.len().min(MAX_COPIED_BODY_BYTES));
+        start.extend_from_slice(body_start);
         if self.client_is_gone() || time_left(self.send_by).is_zero() {
             return Err(Outcome::Moot);
         }
         reporter.mark_in_flight(endpoint);
         // Nobody runs a request before its last byte is written.
-        link.write(&request, self.deadline.min(self.send_by)).map_err(|_| Outcome::NoConnection)?;
-        let (id, bytes, idle_ms) = (&task.call.id, request.len(), idle.map(|idle| idle.as_millis() as u64));
+        let write_until = self.deadline.min(self.send_by);
+        for part in [&start, body_rest] {
+            link.write(part, write_until).map_err(|_| Outcome::NoConnection)?;
+        }
+        let (id, idle_ms) = (&task.call.id, idle.map(|idle| idle.as_millis() as u64));
+        let bytes = start.len() + body_rest.len();
         tracing::debug!(id, attempt = self.number, host = endpoint.name, bytes, idle_ms, "attempt written");
-        drop(request);
+        drop((start, body));
         let (written, mut reply) = (Instant::now(), Reply::new(link, ANSWER_LIMITS));
         let head = reply.head_within(self.deadline, timeouts::ANSWER_START_TIMEOUT);
         let broken = matches!(head, Err(Fault::Broken));
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tulipstall_net::{Fault, Link, READ_BUFFER_BYTES};
+use tulipstall_platform::memory_budget::{self, UnfinishedRequest};
 use tulipstall_platform::socket_budget::{EvictionCandidate, MAX_DISCARDED_BYTES, NEW_CONNECTION_GRACE};
 
 /// Time limit for a write to a client that does not read.
@@ -43,6 +44,8 @@
     stream_host: Mutex<Option<Link>>,
     /// When the connection was accepted; later, when its last answer ended.
     since: Mutex<Instant>,
+    /// Memory of the request that is being received, and when its last bytes arrived.
+    unfinished: Mutex<(usize, Instant)>,
 }
 
 /// Flag in `busy`: the connection was closed as idle, and requests read from then on are ignored.
@@ -61,6 +64,7 @@
             answered: AtomicUsize::new(0),
             stream_host: Mutex::new(None),
             since: Mutex::new(Instant::now()),
+            unfinished: Mutex::new((0, Instant::now())),
         })
     }
 
@@ -116,15 +120,24 @@
         *lock(&self.since)
     }
 
-    /// Ends the connection if `ends` holds for `busy`; returns whether it did.
-    fn end_if(&self, ends: impl Fn(usize) -> bool) -> bool {
+    /// Records the memory of the request that is being received, as bytes of it have just arrived.
+    pub fn set_unfinished(&self, bytes: usize) {
+        *lock(&self.unfinished) = (bytes, Instant::now());
+    }
+
+    fn unfinished_request(&self) -> UnfinishedRequest {
+        let (bytes, since) = *lock(&self.unfinished);
+        UnfinishedRequest { bytes, idle: since.elapsed() }
+    }
+
+    /// Ends the connection if `ends` holds for `busy`; returns whether it did. A client that has sent part of a
+    /// request gets `answer`.
+    fn end_if(&self, ends: impl Fn(usize) -> bool, answer: &str) -> bool {
         let ended = |busy| ends(busy).then_some(ENDED_FLAG);
         let before = self.busy.fetch_update(Ordering::SeqCst, Ordering::SeqCst, ended);
         if let Ok(before) = before {
             if before & PARTIAL_FLAG != 0 {
-                let _ = self
-                    .link
-                    .write_available(plain_response(408, "too many connections", false, None).as_bytes());
+                let _ = self.link.write_available(answer.as_bytes());
             }
             self.has_left.store(true, Ordering::Release);
             self.link.shut();
@@ -135,13 +148,13 @@
     /// Ends the connection if no part of a request has been received; if a request arrives at the same
     /// moment, only one of the two takes effect.
     pub fn end_if_idle(&self) -> bool {
-        self.end_if(|busy| busy == 0)
+        self.end_if(|busy| busy == 0, "")
     }
 
     /// Like [`Client::end_if_idle`], also if part of a request has been received: then the client gets an
     /// answer that says so.
-    fn end_if_no_whole_request(&self) -> bool {
-        self.end_if(|busy| busy & !PARTIAL_FLAG == 0)
+    fn end_if_no_whole_request(&self, status: u16, why: &str) -> bool {
+        self.end_if(|busy| busy & !PARTIAL_FLAG == 0, &plain_response(status, why, false, None))
     }
 
     /// Reads and discards input up to a limit, so that the client's disconnect is noticed; ends when the
@@ -225,7 +238,20 @@
         shared
             .socket_budget
             .client_to_evict(candidates)
-            .is_some_and(|index| open[index].end_if_no_whole_request())
+            .is_some_and(|index| open[index].end_if_no_whole_request(408, "too many connections"))
+    }
+
+    /// Rejects the unfinished request of a client to free its memory for the one of `own`; false if that one has
+    /// to be rejected itself. Connections with a whole request are left alone: it has to be answered.
+    pub fn reject_unfinished_request(&self, own: &Client) -> bool {
+        let open = lock(&self.open);
+        let may_be_rejected =
+            |client: &Client| std::ptr::eq(client, own) || !(client.has_request() || client.has_left());
+        let candidates = open.iter().filter(|(_, client)| may_be_rejected(client) && client.has_partial());
+        let candidates = candidates.map(|(index, client)| (index, client.unfinished_request()));
+        let Some(index) = memory_budget::request_to_reject(candidates) else { return false };
+        !std::ptr::eq(&*open[index], own)
+            && open[index].end_if_no_whole_request(503, "out of memory: ask again")
     }
 }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -3,8 +3,9 @@
 
 use crate::attempt::BegunStream;
 use crate::client::{Client, plain_response};
+use crate::memory::Body;
 use crate::owner::OwnerMessage;
-use crate::receive::read_requests;
+use crate::receive::{ReceivedRequest, read_requests};
 use crate::task::Task;
 use crate::{Shared, lock, relay};
 use may::sync::mpsc::{Receiver, Sender, channel};
@@ -14,7 +15,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tulipstall_core::TaskId;
-use tulipstall_http1::{RequestError, RequestHead};
+use tulipstall_http1::RequestHead;
 use tulipstall_net::errors::{self, Cause};
 use tulipstall_net::{Listener, open_sockets, spawn};
 use tulipstall_platform::call::{self, Rejection};
@@ -23,10 +24,10 @@
 
 /// Messages to the coroutine that answers.
 pub enum Message {
-    Request(Box<RequestHead>, Vec<u8>),
+    Request(ReceivedRequest),
     /// The client waits for `100 Continue` before it sends its body.
     Continue,
-    Rejected(RequestError),
+    Rejected(Rejection),
     /// The client has disconnected, was idle for too long, or took too long to send a request.
     Disconnected {
         timed_out: bool,
@@ -123,6 +124,7 @@
             tulipstall_net::sleep(Duration::from_secs(1));
             housekeeping_shared.hosts.trim_idle();
             housekeeping_shared.releases.report();
+            housekeeping_shared.request_memory.report();
         }
     });
 }
@@ -231,8 +233,8 @@
                 },
             };
             let keep_open = match message {
-                Message::Request(head, body) => {
-                    let keep_open = self.answer(&head, body);
+                Message::Request(request) => {
+                    let keep_open = self.answer(&request.head, request.body);
                     if let (false, partial) = self.client.end_request() {
                         let idle = self.shared.socket_budget.idle_timeout(self.shared.clients.count());
                         let timeout = if partial { REQUEST_TIMEOUT } else { idle };
@@ -241,8 +243,10 @@
                     keep_open && !self.ends_for_stop()
                 }
                 Message::Continue => self.client.write(b"HTTP/1.1 100 Continue\r\n\r\n").is_ok(),
-                Message::Rejected(error) => {
-                    let _ = self.respond(error.status(), error.reason(), false, None);
+                Message::Rejected(Rejection { status, reason }) => {
+                    let retry_after = Duration::from_millis(200);
+                    let advice = (status == 503).then(|| self.shared.retry_advice(retry_after)).flatten();
+                    let _ = self.respond(status, reason, false, advice);
                     false
                 }
                 Message::Disconnected { timed_out } => {
@@ -302,7 +306,7 @@
     }
 
     /// Answers one request; returns whether the connection continues.
-    fn answer(&mut self, head: &RequestHead, body: Vec<u8>) -> bool {
+    fn answer(&mut self, head: &RequestHead, body: Body) -> bool {
         let keep_open = self.keeps_open(head);
         match (head.method.as_str(), head.path()) {
             ("POST", call::COMPLETIONS_PATH) => self.call(head, body),
@@ -321,7 +325,7 @@
         }
     }
 
-    fn call(&mut self, head: &RequestHead, body: Vec<u8>) -> bool {
+    fn call(&mut self, head: &RequestHead, body: Body) -> bool {
         let shared = self.shared.clone();
         if self.client.is_gone() {
             return false;
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -217,6 +217,7 @@
                 }
             }
         }
+        shared.request_memory.set_hosts(lock(&self.endpoints).len());
         tracing::info!(seq = list.seq, whole = complete, hosts = list.hosts.len(), "list taken");
         shared.owner_queue.send(OwnerMessage::Input(Input::HostList { complete, rows }));
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod front;
 mod hosts;
+mod memory;
 mod metrics;
 mod owner;
 mod receive;
@@ -17,6 +18,7 @@
 
 use hosts::Hosts;
 use may::sync::Semphore;
+use memory::RequestMemory;
 use owner::OwnerMessage;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -31,10 +33,11 @@
 use tulipstall_net::{Link, Listener};
 use tulipstall_platform::call::Catalog;
 use tulipstall_platform::ids::RequestIds;
+use tulipstall_platform::memory_budget::MemoryBudget;
 use tulipstall_platform::registry::RegistryTimeouts;
 use tulipstall_platform::reuse::ReuseHistory;
 use tulipstall_platform::socket_budget::SocketBudget;
-use tulipstall_platform::start::StartConfig;
+use tulipstall_platform::start::{Limits, StartConfig};
 
 /// Sends messages to the thread that owns the decisions: a bounded queue, first in, first out.
 #[derive(Clone)]
@@ -59,6 +62,7 @@
     owner_queue: OwnerQueue,
     hosts: Hosts,
     socket_budget: SocketBudget,
+    request_memory: Arc<RequestMemory>,
     connect_timeout: Duration,
     /// Time within which a held state has to be released.
     release_time: Duration,
@@ -143,6 +147,11 @@
         // close.
         let idle_timeout = duration_setting("allowed.keepalive_us", Duration::from_secs(10)) / 2;
         let catalog = Catalog::new(&start.config);
+        let memory_budget = MemoryBudget::new(start.limits.memory_mb);
+        let socket_budget = SocketBudget::new(start.limits.sockets)
+            .limited_to(memory_budget.max_clients(), memory_budget.max_tasks());
+        let request_memory =
+            RequestMemory::new(memory_budget, socket_budget.max_clients(), socket_budget.max_tasks());
         // An attempt of a request may run for as long as its client would have waited.
         let id_retention = catalog.max_deadline().min(MAX_ID_RETENTION);
         let shared = Arc::new(Shared {
@@ -150,7 +159,8 @@
             start: Instant::now(),
             owner_queue: OwnerQueue { sender, free_slots: Arc::new(Semphore::new(OWNER_QUEUE_CAPACITY)) },
             hosts: Hosts::new(idle_timeout, start.seed, start.config.text("zone")),
-            socket_budget: SocketBudget::new(start.limits.sockets),
+            socket_budget,
+            request_memory,
             connect_timeout: duration_setting("allowed.connect_timeout_us", Duration::from_millis(250)),
             release_time: duration_setting("service.release_us", Duration::from_secs(1)),
             draining: AtomicBool::new(false),
@@ -169,7 +179,8 @@
             registry: Mutex::new((start.discovery, None)),
             list_received: AtomicBool::new(false),
         });
-        let core = Core::new(start.seed, start.config.clone());
+        let mut core = Core::new(start.seed, start.config.clone());
+        core.limit_names(memory_budget.max_names());
         let owner = owner::start(shared.clone(), receiver, core).map_err(to_text)?;
         let listener = Arc::new(Listener::bind(start.listen).map_err(to_text)?);
         let address = listener.local_addr().map_err(to_text)?;
@@ -180,7 +191,8 @@
         registry::start(shared.clone(), RegistryTimeouts::from_config(&start.config), known_seq);
         front::start(shared.clone(), listener.clone());
         let zone = start.config.text("zone").unwrap_or_default();
-        tracing::info!(name = start.name, %address, sockets = start.limits.sockets, zone, "listening");
+        let Limits { sockets, memory_mb } = start.limits;
+        tracing::info!(name = start.name, %address, sockets, memory_mb, zone, "listening");
         Ok(Node { shared, listener, address, owner: Mutex::new(Some(owner)) })
     }
 
--- a/crates/node/src/task.rs
+++ b/crates/node/src/task.rs
@@ -4,6 +4,7 @@
 use crate::client::Client;
 use crate::front::Message;
 use crate::lock;
+use crate::memory::Body;
 use may::sync::mpsc::Sender;
 use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
@@ -23,8 +24,8 @@
 pub struct Task {
     /// Forwarded unchanged to hosts.
     pub call: ForwardedCall,
-    /// The request's body, until an answer has begun.
-    body: Mutex<Option<Arc<Vec<u8>>>>,
+    /// The request's body, until the task is settled.
+    body: Mutex<Option<Arc<Body>>>,
     pub request: TaskRequest,
     pub arrived: Instant,
     /// A weak reference: the connection ends with its coroutines, whatever attempts are still pending.
@@ -40,7 +41,7 @@
     pub fn new(
         call: ForwardedCall,
         request: TaskRequest,
-        body: Vec<u8>,
+        body: Body,
         (client, inbox): (Weak<Client>, Sender<Message>),
     ) -> Self {
         let body = Mutex::new(Some(Arc::new(body)));
@@ -58,8 +59,14 @@
         (packed != u64::MAX).then_some(TaskId { slot: (packed >> 32) as u32, generation: packed as u32 })
     }
 
+    /// Settles the task. The body is freed: no further host is asked, and a stream or an attempt that has been
+    /// cancelled may last far longer than the prompt is needed.
     fn settle(&self, answer: u32) -> bool {
-        self.answer.compare_exchange(OPEN, answer, Ordering::AcqRel, Ordering::Acquire).is_ok()
+        let settled = self.answer.compare_exchange(OPEN, answer, Ordering::AcqRel, Ordering::Acquire).is_ok();
+        if settled {
+            *lock(&self.body) = None;
+        }
+        settled
     }
 
     /// Settles the task with an answer that is not a shot's; false if a shot's answer has begun.
@@ -67,14 +74,9 @@
         self.settle(CLOSED)
     }
 
-    /// Settles the task with this shot's answer; false if it already has another one. The body is freed: no
-    /// further host is asked, and a stream lasts far longer than the prompt is needed.
+    /// Settles the task with this shot's answer; false if it already has another one.
     pub fn claim(&self, shot: u32) -> bool {
-        let claimed = self.settle(FIRST_SHOT + shot);
-        if claimed {
-            *lock(&self.body) = None;
-        }
-        claimed
+        self.settle(FIRST_SHOT + shot)
     }
 
     /// Whether the client has disconnected, according to its connection.
@@ -82,7 +84,7 @@
         self.client.upgrade().is_none_or(|client| client.is_gone())
     }
 
-    pub fn body(&self) -> Option<Arc<Vec<u8>>> {
+    pub fn body(&self) -> Option<Arc<Body>> {
         lock(&self.body).clone()
     }
 }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -28,25 +28,22 @@
     pub key: Option<String>,
 }
 
-/// The request to a host, with the time for which its answer is awaited.
-pub fn request(call: &ForwardedCall, time_left: Duration, body: &[u8]) -> Vec<u8> {
+/// The head of a request to a host, with the time for which its answer is awaited.
+pub fn request_head(call: &ForwardedCall, time_left: Duration, body_bytes: usize) -> Vec<u8> {
     let ForwardedCall { target, host, id, key } = call;
     let mut head = String::with_capacity(256);
     // Writing to a string cannot fail.
     let _ = write!(
         head,
         "POST {target} HTTP/1.1\r\nHost: {host}\r\n{ID_HEADER}: {id}\r\n{TIME_LEFT_HEADER}: {}\r\nContent-Type: application/json\r\n\
-         Content-Length: {}\r\n",
-        time_left.as_millis(),
-        body.len()
+         Content-Length: {body_bytes}\r\n",
+        time_left.as_millis()
     );
     if let Some(key) = key {
         let _ = write!(head, "{IDEMPOTENCY_KEY_HEADER}: {key}\r\n");
     }
     head.push_str("\r\n");
-    let mut request = head.into_bytes();
-    request.extend_from_slice(body);
-    request
+    head.into_bytes()
 }
 
 /// The request that releases everything any host holds for a task.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod config;
 pub mod host;
 pub mod ids;
+pub mod memory_budget;
 pub mod registry;
 pub mod release;
 pub mod reuse;
--- a/crates/platform/src/socket_budget.rs
+++ b/crates/platform/src/socket_budget.rs
@@ -7,6 +7,9 @@
 /// pipe.
 const RESERVED_SOCKETS: usize = 24;
 
+/// Sockets that are used whatever the configuration grants.
+const MIN_SOCKETS: usize = 8;
+
 /// Time for the first byte of a new connection and for a whole request. The platform requires an answer to
 /// either within 3 s, and a healthy client sends at once.
 pub const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -27,10 +30,12 @@
 /// descriptors are held by this.
 pub const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The number of sockets that connections may use.
+/// The number of sockets that connections may use, and how many clients and tasks they allow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SocketBudget {
     sockets: usize,
+    max_clients: usize,
+    max_tasks: usize,
 }
 
 /// State of a client connection, as far as eviction depends on it.
@@ -55,17 +60,29 @@
 
 impl SocketBudget {
     pub fn new(sockets: usize) -> Self {
-        SocketBudget { sockets: sockets.saturating_sub(RESERVED_SOCKETS).max(8) }
+        let sockets = sockets.saturating_sub(RESERVED_SOCKETS).max(MIN_SOCKETS);
+        SocketBudget { sockets, max_clients: sockets / 2, max_tasks: sockets * 2 / 5 }
+    }
+
+    /// The same sockets with lower limits of clients and tasks, if another resource allows fewer of them.
+    pub fn limited_to(self, max_clients: usize, max_tasks: usize) -> Self {
+        let (max_clients, max_tasks) = (max_clients.max(MIN_SOCKETS / 2), max_tasks.max(MIN_SOCKETS / 2));
+        SocketBudget {
+            max_clients: self.max_clients.min(max_clients),
+            max_tasks: self.max_tasks.min(max_tasks),
+            ..self
+        }
     }
 
-    /// Half of the sockets: each open task has one connection to a client and one to a host.
+    /// Limit of client connections, at most half of the sockets: each open task has one connection to a client
+    /// and one to a host.
     pub fn max_clients(&self) -> usize {
-        self.sockets / 2
+        self.max_clients
     }
 
     /// Limit of open tasks: leaves room for clients that are connected without a task.
     pub fn max_tasks(&self) -> usize {
-        self.sockets * 2 / 5
+        self.max_tasks
     }
 
     /// How long a connection stays open between requests: 10 s while less than a quarter of the client limit
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -10,8 +10,15 @@
 pub struct Limits {
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory in MiB above which the process is killed.
+    pub memory_mb: usize,
 }
 
+/// The usual descriptor limit of the system, for a configuration that gives none.
+const DEFAULT_SOCKETS: usize = 1024;
+/// The most that the platform grants in service, for a configuration that gives no memory limit.
+const DEFAULT_MEMORY_MB: usize = 192;
+
 /// A parsed start configuration.
 #[derive(Clone, Debug)]
 pub struct StartConfig {
@@ -45,6 +52,7 @@
 #[derive(Default, Deserialize)]
 struct RawLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl StartConfig {
@@ -60,8 +68,10 @@
             listen: config.listen,
             discovery: config.discovery,
             seed,
-            // The usual descriptor limit of the system, for a configuration that gives none.
-            limits: Limits { sockets: config.limits.sockets.unwrap_or(1024) },
+            limits: Limits {
+                sockets: config.limits.sockets.unwrap_or(DEFAULT_SOCKETS),
+                memory_mb: config.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
+            },
             // A cached list that cannot be read is ignored.
             last_list: config.known.and_then(|known| registry::parse_value(&known).ok()),
             config: crate::parse_config(&config.settings),
--- a/src/names.rs
+++ b/src/names.rs
@@ -9,7 +9,7 @@
 
 /// Bounds on memory, far above what a dispatcher has in use at once.
 const MAX_NAMES: usize = 4096;
-const MAX_KEYS: usize = 65_536;
+const DEFAULT_MAX_KEYS: usize = 65_536;
 
 /// Hashes a name without a seed, so that every dispatcher computes the same value.
 pub fn name_hash(name: &str) -> u64 {
@@ -165,8 +165,9 @@
 }
 
 /// Names of sessions or shared texts. Once the table is full, the oldest slot is reused.
-#[derive(Default)]
 pub struct KeyNames {
+    /// Limit of the number of slots.
+    max_keys: usize,
     index: FxHashMap<String, u32>,
     /// Name and generation of each slot.
     slots: Vec<(String, u32)>,
@@ -174,7 +175,18 @@
     next_slot: usize,
 }
 
+impl Default for KeyNames {
+    fn default() -> Self {
+        KeyNames { max_keys: DEFAULT_MAX_KEYS, index: FxHashMap::default(), slots: Vec::new(), next_slot: 0 }
+    }
+}
+
 impl KeyNames {
+    /// Limits the table to this many names. Call it before the first name only.
+    pub fn limit(&mut self, max_keys: usize) {
+        self.max_keys = max_keys.clamp(1, DEFAULT_MAX_KEYS);
+    }
+
     /// The key of the name, which is added if it is new.
     pub fn intern(&mut self, name: &str) -> CacheKey {
         let hash = name_hash(name);
@@ -182,7 +194,7 @@
             return CacheKey { slot, generation: self.slots[slot as usize].1, hash };
         }
         let slot = self.next_slot;
-        self.next_slot = (self.next_slot + 1) % MAX_KEYS;
+        self.next_slot = (self.next_slot + 1) % self.max_keys;
         self.index.insert(name.to_owned(), slot as u32);
         match self.slots.get_mut(slot) {
             Some((current_name, generation)) => {
@@ -270,6 +282,22 @@
 mod tests {
     use super::*;
 
+    /// A limited table never has more slots than its limit, and a reused slot gets another generation. Without the
+    /// limit, clients that name new sessions for ever take a memory that is not theirs.
+    #[test]
+    fn a_table_of_keys_stays_within_its_limit() {
+        let mut keys = KeyNames::default();
+        keys.limit(100);
+        let first = keys.intern("s0");
+        for i in 0..1000 {
+            let key = keys.intern(&format!("s{i}"));
+            assert!(key.slot < 100, "{i}: {key:?}");
+            assert!(keys.slots.len() <= 100 && keys.index.len() <= 100, "{i}");
+        }
+        let again = keys.intern("s0");
+        assert_ne!((again.slot, again.generation), (first.slot, first.generation));
+    }
+
     /// A fleet of ten hosts, one of which is replaced under a new name in each step. Slots are reused, but never that of a
     /// host that is present or has departed recently, and a host that returns in time gets its own slot back.
     #[test]
