Rules: work for a list, a task and a timer grows with the fleet, not its square

Cause: update_cell_weights summed over all hosts twice for each host, for each list: 41 ms at 3,200 hosts, while discovery tells a change every 3 ms. Beside it, each pick recomputed the rates of all roles in eight passes, looked up settings by name for each cold host and evaluated exponentials of empty levels: 1.4 ms for an order, 1.3 ms for each 10 ms timer of a task that waits.

Change: sums by cell in one pass; role rates in one pass and once an event; averages once a planned task; settings of cold starts read once; no pick for whole tasks where no host does them. The decisions stay the same.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,9 +18,11 @@
 use crate::release::release_after;
 pub use crate::state::Rules;
 use crate::state::{
-    CachedText, DecayingLevel, DecayingRatio, DesiredState, Host, Offering, Pcg32, Phase, Shot, Task,
+    CachedText, CellShares, ColdStart, DecayingLevel, DecayingRatio, DesiredState, Host, Offering, Pcg32,
+    Phase, Shot, Task,
 };
 use crate::state::{best_ranked, cached_tokens_at, count_task, find_cached, record_cached, top_ranked};
+use rustc_hash::FxHashMap;
 use std::time::Duration;
 
 /// Fixed cost of a read beside its prompt, in tokens: less than the smallest chunk that engines prefill.
@@ -81,6 +83,7 @@
             // As if two prompts had been read at the usual speed of engines, so that a single full host does
             // not make every task late.
             role_read_times: [DecayingRatio { numerator: 0.4, denominator: 4000.0 }; 4],
+            cold_start: ColdStart::from_config(config),
             config: config.clone(),
             ..Rules::default()
         }
@@ -109,6 +112,7 @@
         // Time never goes back here, even if the caller's clock does.
         self.now = self.now.max(now);
         self.first_event_at.get_or_insert(self.now);
+        self.role_rates_are_current = false;
         let task = match event {
             Event::Hosts { complete, listed } => return self.update_hosts(*complete, listed, out),
             Event::ListFailed => return out.push(Action::RequestHostList),
@@ -183,6 +187,7 @@
             host.listed = *line;
         }
         self.update_cell_weights();
+        self.role_rates_are_current = false;
         // Shots that wait at a host that is gone are cancelled at once; tasks that wait for a host may have
         // one now.
         for t in 0..self.tasks.len() {
@@ -550,66 +555,77 @@
         if now >= host.warm_at {
             return f64::INFINITY;
         }
-        let warm_up = self.config.number("rules.warm_up_us").unwrap_or(1e6) / 1e6;
-        let age = 1.0 - (host.warm_at - now).as_secs_f64() / warm_up.max(0.001);
+        let ColdStart { warm_up_seconds, cold_from, fall_multiple, half_fall_seconds } = self.cold_start;
+        let age = 1.0 - (host.warm_at - now).as_secs_f64() / warm_up_seconds.max(0.001);
         let (peer_rate, task_rate) = self.role_rates[host.listed.role as usize];
-        let cold_from = self.config.number("rules.cold_from").unwrap_or(0.1);
         // Rises linearly with age, but never past four fifths of the load at which a host that can do no more
         // than at its start would fail.
-        let share_limit = 0.8 * cold_from * self.config.number("rules.fall_multiple").unwrap_or(1.0);
+        let share_limit = 0.8 * cold_from * fall_multiple;
         let send_share = (cold_from + (1.0 - cold_from) * age.max(0.0)).min(share_limit);
         let host = &mut self.hosts[h as usize];
         let filled = host.send_budget.level
             + (now - host.send_budget.updated_at).as_secs_f64() * peer_rate * send_share;
-        let half_fall = self.config.number("rules.fall_us").unwrap_or(0.0) / 2e6;
-        let lapse_level = peer_rate * send_share * half_fall.max(2.0 / task_rate.max(0.01));
+        let lapse_level = peer_rate * send_share * half_fall_seconds.max(2.0 / task_rate.max(0.01));
         let fraction = filled.fract();
         let level = if filled >= 1.0 && fraction < lapse_level { 1.0 + fraction } else { fraction };
         host.send_budget.set(now, level);
         level
     }
 
-    /// Shots a second from this dispatcher that a warm host of a role read or began to answer (the last known
+    /// By role: shots a second from this dispatcher that a warm host read or began to answer (the last known
     /// rate if none is warm), and tasks a second that arrive here. The first is at most one host's share of
     /// the tasks among all hosts that do the same step. Guards against fleets that are replaced at once: the
     /// few hosts left running are sent more than they can do, and without this limit new ones would be too.
-    fn measure_role_rates(&self, role: Role) -> (f64, f64) {
+    fn update_role_rates(&mut self) {
         let now = self.now;
         // Rates over half a minute: with less, one of hundreds of dispatchers sees no task most of the time.
         // Soon after the start they are scaled to the time since then, but to ten seconds at least, as the
         // first tasks are mostly clients that repeat their requests.
         let elapsed = (now - self.first_event_at.unwrap_or_default()).as_secs_f64().max(10.0);
         let per_second = 1.0 / (30.0 * (1.0 - (-elapsed / 30.0).exp()));
-        let warm = self.running_hosts(role).filter(|(_, peer)| now >= peer.warm_at);
-        let (warm, starts) =
-            warm.fold((0.0, 0.0), |s, (_, peer)| (s.0 + 1.0, s.1 + peer.recent_starts.decayed(now, 30.0)));
-        let (task_rate, starts) = (self.recent_tasks.decayed(now, 30.0) * per_second, starts * per_second);
-        let is_reader = |role: Role| role == Role::Reader;
-        let same_step = self
-            .hosts
-            .iter()
-            .filter(|host| host.is_running() && is_reader(host.listed.role) == is_reader(role));
-        let (task_share, previous_rate) =
-            (task_rate / same_step.count().max(1) as f64, self.role_rates[role as usize].0);
-        let per_host = if warm > 0.0 {
-            Some(starts / warm)
-        } else {
-            Some(previous_rate).filter(|previous_rate| *previous_rate > 0.0)
-        };
-        (task_share.min(per_host.unwrap_or(task_share)), task_rate)
+        let (mut running, mut warm, mut starts) = ([0_usize; 4], [0.0; 4], [0.0; 4]);
+        for host in self.hosts.iter().filter(|host| host.is_running()) {
+            let role = host.listed.role as usize;
+            running[role] += 1;
+            if now >= host.warm_at {
+                warm[role] += 1.0;
+                starts[role] += host.recent_starts.decayed(now, 30.0);
+            }
+        }
+        let task_rate = self.recent_tasks.decayed(now, 30.0) * per_second;
+        let readers = running[Role::Reader as usize];
+        let others = running.iter().sum::<usize>() - readers;
+        self.role_rates = [Role::Reader, Role::Writer, Role::Mixed, Role::Unknown].map(|role| {
+            let same_step = if role == Role::Reader { readers } else { others };
+            let task_share = task_rate / same_step.max(1) as f64;
+            let (warm, previous_rate) = (warm[role as usize], self.role_rates[role as usize].0);
+            let per_host = if warm > 0.0 {
+                Some(starts[role as usize] * per_second / warm)
+            } else {
+                Some(previous_rate).filter(|previous_rate| *previous_rate > 0.0)
+            };
+            (task_share.min(per_host.unwrap_or(task_share)), task_rate)
+        });
     }
 
-    fn update_role_rates(&mut self) {
-        self.role_rates = [Role::Reader, Role::Writer, Role::Mixed, Role::Unknown]
-            .map(|role| self.measure_role_rates(role));
+    /// Updates the role rates if a host is cold, once for each event: nothing that they depend on changes
+    /// while its tasks are planned.
+    fn refresh_role_rates(&mut self) {
+        if std::mem::replace(&mut self.role_rates_are_current, true) {
+            return;
+        }
+        if self.hosts.iter().any(|host| host.is_running() && self.now < host.warm_at) {
+            self.update_role_rates();
+        }
     }
 
     /// Recent seconds for each token read at a host, smoothed with two long prompts at its role's speed. For
     /// a host that answers at least twice a minute, this distinguishes a slow host from an overload.
     fn seconds_per_read_token(&self, h: u32) -> f64 {
         let (host, weight) = (&self.hosts[h as usize], 2.0 * self.long_prompt_tokens);
-        let (decay, usual) =
-            (host.read_times_weight(self.now), self.role_read_times[host.listed.role as usize].value());
+        let usual = self.role_read_times[host.listed.role as usize].value();
+        // Without any read here there is nothing to weigh.
+        let decay = if host.read_times.denominator > 0.0 { host.read_times_weight(self.now) } else { 0.0 };
         (host.read_times.numerator * decay + weight * usual) / (host.read_times.denominator * decay + weight)
     }
 
@@ -683,12 +699,11 @@
         load + (remote_cost + 3.0 * over_share * count_uncertainty) * long_prompt_tokens
     }
 
-    /// Fills `pending_counts`, one entry for each host, infinite where the shot may not go; returns the
-    /// lowest.
-    fn update_pending_counts(&mut self, t: usize, phase: Phase) -> f64 {
-        let (prompt, output_tokens) =
-            (f64::from(self.tasks[t].order.prompt_tokens), self.tasks[t].output_tokens);
-        let writers_read = self.config.flag("service.writers_read");
+    /// Updates the averages over hosts, once for each task that is planned: sending a shot changes them.
+    fn refresh_averages(&mut self) {
+        if std::mem::replace(&mut self.averages_are_current, true) {
+            return;
+        }
         let (mut reports, mut recent_sum, mut readers) = ([DecayingRatio::default(); 4], 0.0, 0.0);
         for host in self.hosts.iter().filter(|host| host.is_running()) {
             if let Some(tokens) = host.recent_report(self.now) {
@@ -704,32 +719,40 @@
         }
         (self.role_reported_to_read, self.mean_recent_read_tokens) =
             (reports, f64::max(recent_sum / f64::max(readers, 1.0), 1.0));
-        if self.hosts.iter().any(|host| host.is_running() && self.now < host.warm_at) {
-            self.update_role_rates();
-        }
+    }
+
+    /// Fills `pending_counts`, one entry for each host, infinite where the shot may not go; returns the
+    /// lowest.
+    fn update_pending_counts(&mut self, t: usize, phase: Phase) -> f64 {
+        let (prompt, output_tokens) =
+            (f64::from(self.tasks[t].order.prompt_tokens), self.tasks[t].output_tokens);
+        let writers_read = self.config.flag("service.writers_read");
+        self.refresh_averages();
+        self.refresh_role_rates();
         let mut pending_counts = std::mem::take(&mut self.pending_counts);
         pending_counts.clear();
         for h in 0..self.hosts.len() as u32 {
             let role = self.hosts[h as usize].listed.role;
-            let (fits, added_tokens) = match phase {
-                Phase::Read => (role == Role::Reader, self.uncached_tokens(t, h)),
-                Phase::Write => (role == Role::Writer || role == Role::Mixed, prompt + output_tokens),
-                Phase::Whole => (
-                    role == Role::Mixed || role == Role::Writer && writers_read,
-                    self.uncached_tokens(t, h) + output_tokens,
-                ),
+            let fits = match phase {
+                Phase::Read => role == Role::Reader,
+                Phase::Write => role == Role::Writer || role == Role::Mixed,
+                Phase::Whole => role == Role::Mixed || role == Role::Writer && writers_read,
+            };
+            if !(fits && self.may_send(t, h)) {
+                pending_counts.push(f64::INFINITY);
+                continue;
+            }
+            let added_tokens = match phase {
+                Phase::Read => self.uncached_tokens(t, h),
+                Phase::Write => prompt + output_tokens,
+                Phase::Whole => self.uncached_tokens(t, h) + output_tokens,
             };
-            let allowed = fits && self.may_send(t, h);
             // The host that lost this task's answer or was too slow, or that rejected it, counts as just
             // beyond a tie: own counts may not show why it did so. Not if the shot may have run there, as
             // such failures are mostly chance.
             let avoided = self.tasks[t].avoids(h);
             let avoid_penalty = if avoided { 1.5 * self.tie_margin(t) } else { 0.0 };
-            pending_counts.push(if allowed {
-                self.pending_tokens(h, phase, added_tokens) + avoid_penalty
-            } else {
-                f64::INFINITY
-            });
+            pending_counts.push(self.pending_tokens(h, phase, added_tokens) + avoid_penalty);
         }
         self.pending_counts = pending_counts;
         self.pending_counts.iter().copied().fold(f64::INFINITY, f64::min)
@@ -782,25 +805,28 @@
         // rest from states.
         let write_weight = |role| [0.0, 1.0, 0.75, 0.0][role as usize];
         let read_weight = |role| [1.0, 0.0, 0.0, 0.0][role as usize];
-        let sum = |weight_of: fn(Role) -> f64, selected: &dyn Fn(&ListedHost) -> bool| -> f64 {
-            let running = self.hosts.iter().filter(|host| host.is_running() && selected(&host.listed));
-            running.map(|host| weight_of(host.listed.role)).sum::<f64>().max(1e-9)
-        };
-        let (total_reads, total_writes) = (sum(read_weight, &|_| true), sum(write_weight, &|_| true));
-        let weigh = |host: &Host| {
-            let same_cell = |other: &ListedHost| other.cell == host.listed.cell;
+        // Shares of nothing are tiny, not undefined.
+        const MIN_SUM: f64 = 1e-9;
+        let (mut total, mut cells) = (CellShares::default(), FxHashMap::<u32, CellShares>::default());
+        for host in self.hosts.iter().filter(|host| host.is_running()) {
+            let (role, cell) = (host.listed.role, cells.entry(host.listed.cell).or_default());
+            for sum in [&mut total, cell] {
+                sum.reads += read_weight(role);
+                sum.writes += write_weight(role);
+            }
+        }
+        self.has_mixed_hosts =
+            self.hosts.iter().any(|host| host.is_running() && host.listed.role == Role::Mixed);
+        let (total_reads, total_writes) = (total.reads.max(MIN_SUM), total.writes.max(MIN_SUM));
+        for host in &mut self.hosts {
+            let role = host.listed.role;
+            let cell = cells.get(&host.listed.cell).copied().unwrap_or_default();
             let (cell_reads, cell_writes) =
-                (sum(read_weight, &same_cell) / total_reads, sum(write_weight, &same_cell) / total_writes);
-            let spare = f64::max(cell_writes - cell_reads, 0.0) * write_weight(host.listed.role)
-                / total_writes
-                / cell_writes;
-            (f64::max(cell_reads - cell_writes, 0.0) / cell_reads, spare)
-        };
-        let shares: Vec<(f64, f64)> = self.hosts.iter().map(weigh).collect();
-        for (host, shares) in self.hosts.iter_mut().zip(shares) {
-            (host.remote_fetch_share, host.spare_writer_share) = shares;
-            host.home_weight =
-                if host.listed.role == Role::Mixed { 0.25 * total_reads / total_writes } else { 1.0 };
+                (cell.reads.max(MIN_SUM) / total_reads, cell.writes.max(MIN_SUM) / total_writes);
+            host.remote_fetch_share = f64::max(cell_reads - cell_writes, 0.0) / cell_reads;
+            host.spare_writer_share =
+                f64::max(cell_writes - cell_reads, 0.0) * write_weight(role) / total_writes / cell_writes;
+            host.home_weight = if role == Role::Mixed { 0.25 * total_reads / total_writes } else { 1.0 };
         }
     }
 
@@ -914,7 +940,8 @@
     /// the few mixed hosts.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Phase)> {
         let reader = self.pick_reader(t);
-        let whole = self.pick_writer(t, Phase::Whole);
+        let any_does_whole_tasks = self.has_mixed_hosts || self.config.flag("service.writers_read");
+        let whole = if any_does_whole_tasks { self.pick_writer(t, Phase::Whole) } else { None };
         let preferred =
             self.preferred_reader(t).filter(|h| self.hosts[*h as usize].listed.role == Role::Mixed);
         let home_host = preferred.filter(|h| {
@@ -934,6 +961,7 @@
 
     /// Sets what a task needs next, for `reconcile`.
     fn plan(&mut self, t: usize) {
+        self.averages_are_current = false;
         self.plan_attempts(t);
         self.plan_release(t);
     }
@@ -1048,14 +1076,14 @@
         let (shot, silence_limit, deadline) = (task.shots[i], task.silence_limit, task.deadline);
         let host = &self.hosts[shot.host as usize];
         let offering = &self.offerings[task.offering];
-        let peer_answered =
-            self.running_hosts(host.listed.role).any(|(_, peer)| peer.last_answer_at > shot.sent_at);
         // While another writer can still fetch the state, a silent writer is given up sooner.
         let switch_at =
             task.held.switch_writer_at(self.hold_limit()).map(|at| at.max(shot.sent_at + silence_limit));
         let silent_at =
             switch_at.map_or(shot.sent_at + 3 * silence_limit, |at| at.min(shot.sent_at + 3 * silence_limit));
-        let silent = now >= silent_at && host.last_answer_at <= shot.sent_at && peer_answered;
+        let peer_answered =
+            || self.running_hosts(host.listed.role).any(|(_, peer)| peer.last_answer_at > shot.sent_at);
+        let silent = now >= silent_at && host.last_answer_at <= shot.sent_at && peer_answered();
         let overtaken = now >= shot.sent_at + silence_limit
             && host.latest_answered_sent_at > shot.sent_at + silence_limit / 4;
         let gone = host.listed.status == HostStatus::Gone || host.listed.name_hash != shot.listed.name_hash;
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,6 +36,10 @@
 
 impl DecayingLevel {
     pub(crate) fn decayed(&self, now: Duration, time_constant: f64) -> f64 {
+        // Most hosts of a large fleet have no level, and the exponential is costly.
+        if self.level == 0.0 {
+            return 0.0;
+        }
         self.level * (-now.saturating_sub(self.updated_at).as_secs_f64() / time_constant).exp()
     }
 
@@ -344,6 +348,36 @@
     }
 }
 
+/// How cold hosts may be loaded, from the configuration.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct ColdStart {
+    pub(crate) warm_up_seconds: f64,
+    /// Share of a warm host's work that a host can do at its start.
+    pub(crate) cold_from: f64,
+    /// Load, as a multiple of what a cold host can do, at which it fails.
+    pub(crate) fall_multiple: f64,
+    /// Half of the time in which an overload makes a host fail.
+    pub(crate) half_fall_seconds: f64,
+}
+
+impl ColdStart {
+    pub(crate) fn from_config(config: &Config) -> Self {
+        ColdStart {
+            warm_up_seconds: config.number("rules.warm_up_us").unwrap_or(1e6) / 1e6,
+            cold_from: config.number("rules.cold_from").unwrap_or(0.1),
+            fall_multiple: config.number("rules.fall_multiple").unwrap_or(1.0),
+            half_fall_seconds: config.number("rules.fall_us").unwrap_or(0.0) / 2e6,
+        }
+    }
+}
+
+/// The shares of one cell in all reading and in all writing.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct CellShares {
+    pub(crate) reads: f64,
+    pub(crate) writes: f64,
+}
+
 /// The decision logic of one dispatcher, with all its state. The decisions are in [`crate::rules`].
 #[derive(Default)]
 pub struct Rules {
@@ -370,8 +404,15 @@
     /// Pending tokens for each host, for one pick; kept to reuse its memory.
     pub(crate) pending_counts: Vec<f64>,
     /// By role: shots a second to a warm host, and tasks a second. Updated with each list of hosts, and at
-    /// each pick while a host is cold.
+    /// the first pick of an event while a host is cold.
     pub(crate) role_rates: [(f64, f64); 4],
+    /// Whether `role_rates` has been updated, if needed, since the last event or list.
+    pub(crate) role_rates_are_current: bool,
+    /// Whether the averages over hosts have been updated since the last task was planned.
+    pub(crate) averages_are_current: bool,
+    /// Whether any running host is mixed.
+    pub(crate) has_mixed_hosts: bool,
+    pub(crate) cold_start: ColdStart,
     /// Estimate of the upper quartile of prompt lengths.
     pub(crate) long_prompt_tokens: f64,
     /// Seconds spent on reads over tokens read, by role.
