Rules: derive what was flagged: averages and rates once a pick, mixed hosts from the fleet

Two flags for what is current and one for mixed hosts go. Averages and the check for cold hosts share one pass before the pick, the only place that needs them.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -112,7 +112,6 @@
         // Time never goes back here, even if the caller's clock does.
         self.now = self.now.max(now);
         self.first_event_at.get_or_insert(self.now);
-        self.role_rates_are_current = false;
         let task = match event {
             Event::Hosts { complete, listed } => return self.update_hosts(*complete, listed, out),
             Event::ListFailed => return out.push(Action::RequestHostList),
@@ -187,7 +186,6 @@
             host.listed = *line;
         }
         self.update_cell_weights();
-        self.role_rates_are_current = false;
         // Shots that wait at a host that is gone are cancelled at once; tasks that wait for a host may have
         // one now.
         for t in 0..self.tasks.len() {
@@ -608,17 +606,6 @@
         });
     }
 
-    /// Updates the role rates if a host is cold, once for each event: nothing that they depend on changes
-    /// while its tasks are planned.
-    fn refresh_role_rates(&mut self) {
-        if std::mem::replace(&mut self.role_rates_are_current, true) {
-            return;
-        }
-        if self.hosts.iter().any(|host| host.is_running() && self.now < host.warm_at) {
-            self.update_role_rates();
-        }
-    }
-
     /// Recent seconds for each token read at a host, smoothed with two long prompts at its role's speed. For
     /// a host that answers at least twice a minute, this distinguishes a slow host from an overload.
     fn seconds_per_read_token(&self, h: u32) -> f64 {
@@ -699,13 +686,12 @@
         load + (remote_cost + 3.0 * over_share * count_uncertainty) * long_prompt_tokens
     }
 
-    /// Updates the averages over hosts, once for each task that is planned: sending a shot changes them.
-    fn refresh_averages(&mut self) {
-        if std::mem::replace(&mut self.averages_are_current, true) {
-            return;
-        }
+    /// Updates the averages over hosts, and the role rates if a host is cold, before a host is picked.
+    fn update_averages(&mut self) {
         let (mut reports, mut recent_sum, mut readers) = ([DecayingRatio::default(); 4], 0.0, 0.0);
+        let mut any_cold = false;
         for host in self.hosts.iter().filter(|host| host.is_running()) {
+            any_cold |= self.now < host.warm_at;
             if let Some(tokens) = host.recent_report(self.now) {
                 reports[host.listed.role as usize].add(tokens, 1.0, 1.0);
             }
@@ -719,6 +705,9 @@
         }
         (self.role_reported_to_read, self.mean_recent_read_tokens) =
             (reports, f64::max(recent_sum / f64::max(readers, 1.0), 1.0));
+        if any_cold {
+            self.update_role_rates();
+        }
     }
 
     /// Fills `pending_counts`, one entry for each host, infinite where the shot may not go; returns the
@@ -727,8 +716,6 @@
         let (prompt, output_tokens) =
             (f64::from(self.tasks[t].order.prompt_tokens), self.tasks[t].output_tokens);
         let writers_read = self.config.flag("service.writers_read");
-        self.refresh_averages();
-        self.refresh_role_rates();
         let mut pending_counts = std::mem::take(&mut self.pending_counts);
         pending_counts.clear();
         for h in 0..self.hosts.len() as u32 {
@@ -815,8 +802,6 @@
                 sum.writes += write_weight(role);
             }
         }
-        self.has_mixed_hosts =
-            self.hosts.iter().any(|host| host.is_running() && host.listed.role == Role::Mixed);
         let (total_reads, total_writes) = (total.reads.max(MIN_SUM), total.writes.max(MIN_SUM));
         for host in &mut self.hosts {
             let role = host.listed.role;
@@ -940,7 +925,8 @@
     /// the few mixed hosts.
     fn pick_start(&mut self, t: usize) -> Option<(u32, Phase)> {
         let reader = self.pick_reader(t);
-        let any_does_whole_tasks = self.has_mixed_hosts || self.config.flag("service.writers_read");
+        let any_does_whole_tasks =
+            self.config.flag("service.writers_read") || self.running_hosts(Role::Mixed).next().is_some();
         let whole = if any_does_whole_tasks { self.pick_writer(t, Phase::Whole) } else { None };
         let preferred =
             self.preferred_reader(t).filter(|h| self.hosts[*h as usize].listed.role == Role::Mixed);
@@ -961,7 +947,6 @@
 
     /// Sets what a task needs next, for `reconcile`.
     fn plan(&mut self, t: usize) {
-        self.averages_are_current = false;
         self.plan_attempts(t);
         self.plan_release(t);
     }
@@ -1030,6 +1015,7 @@
         {
             return self.give_up(t);
         }
+        self.update_averages();
         let pick = match held_by {
             Some(_) => self.pick_writer(t, Phase::Write).map(|h| (h, Phase::Write)),
             None => self.pick_start(t),
--- a/src/state.rs
+++ b/src/state.rs
@@ -403,15 +403,9 @@
     pub(crate) shared_text_caches: Vec<CachedText>,
     /// Pending tokens for each host, for one pick; kept to reuse its memory.
     pub(crate) pending_counts: Vec<f64>,
-    /// By role: shots a second to a warm host, and tasks a second. Updated with each list of hosts, and at
-    /// the first pick of an event while a host is cold.
+    /// By role: shots a second to a warm host, and tasks a second. Updated with each list of hosts, and
+    /// before each pick while a host is cold.
     pub(crate) role_rates: [(f64, f64); 4],
-    /// Whether `role_rates` has been updated, if needed, since the last event or list.
-    pub(crate) role_rates_are_current: bool,
-    /// Whether the averages over hosts have been updated since the last task was planned.
-    pub(crate) averages_are_current: bool,
-    /// Whether any running host is mixed.
-    pub(crate) has_mixed_hosts: bool,
     pub(crate) cold_start: ColdStart,
     /// Estimate of the upper quartile of prompt lengths.
     pub(crate) long_prompt_tokens: f64,
