--- a/crates/node/src/host_changes.rs
+++ b/crates/node/src/host_changes.rs
@@ -35,17 +35,18 @@
 }
 
 impl HostChanges {
-    /// Merges a later list into the pending one. Returns whether none was pending before.
+    /// Merges a later list into the pending one. Returns whether the owner has to be told: none was pending, or the
+    /// pending one becomes complete, which makes it due at once.
     pub fn add(&self, complete: bool, rows: Vec<HostRow>) -> bool {
         let mut pending = lock(&self.pending);
-        let is_first = pending.is_none();
+        let must_tell = pending.as_ref().is_none_or(|list| complete && !list.complete);
         if complete {
             *pending = None;
         }
         let list = pending.get_or_insert_default();
         list.complete |= complete;
         rows.into_iter().for_each(|row| list.add(row));
-        is_first
+        must_tell
     }
 
     /// Whether a complete list is pending.
--- a/crates/node/src/host_changes/tests.rs
+++ b/crates/node/src/host_changes/tests.rs
@@ -15,7 +15,8 @@
 }
 
 /// Merged lists leave the hosts as the lists one after the other would: the last row of each host counts, and a complete
-/// list replaces all before it. Only the first of them has to be announced.
+/// list replaces all before it. The owner is told of the first of them, and of a complete one that follows changes:
+/// without that, a complete list would wait as long as changes may.
 #[test]
 fn merged_lists_leave_the_same_hosts() {
     use HostStatus::{Draining, Gone, Running};
@@ -29,6 +30,7 @@
     };
     assert_eq!(merged, rows(&[("a", Gone), ("b", Running), ("c", Running)]));
     assert!(changes.add(false, rows(&[("a", Draining)])));
+    assert!(changes.add(true, rows(&[("b", Running), ("c", Running)])));
     assert!(!changes.add(true, rows(&[("b", Running), ("c", Running)])));
     assert!(!changes.add(false, rows(&[("c", Draining)])));
     assert!(changes.is_complete());
