--- a/crates/dispatcher/src/hosts.rs
+++ b/crates/dispatcher/src/hosts.rs
@@ -4,7 +4,7 @@
 use crate::Shared;
 use crate::owner::OwnerMessage;
 use slab::Slab;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -173,8 +173,9 @@
     /// Merges a list into the table and creates endpoints for new hosts.
     fn update_table(&self, table: &mut HostTable, list: &HostList) {
         if list.whole {
+            let listed: HashSet<SocketAddr> = list.hosts.iter().map(|line| line.host).collect();
             for (address, endpoint) in &table.endpoints {
-                if !list.hosts.iter().any(|line| line.host == *address) {
+                if !listed.contains(address) {
                     endpoint.set_standing(HostStanding::Gone);
                 }
             }
