Node: one answer for lack of memory, and simpler leases

The two texts for the same refusal are one constant, the advice to retry soon has a name, and resizing a lease no longer makes a second one. The number of hosts is taken where the list is locked. The choice of whom to ask for a release is as it was: it had come to take locks of connection pools while the list of hosts was locked.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -6,12 +6,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tulipstall_net::{Fault, Link, READ_BUFFER_BYTES};
+use tulipstall_platform::call::Rejection;
 use tulipstall_platform::memory_budget::{self, UnfinishedRequest};
 use tulipstall_platform::socket_budget::{EvictionCandidate, MAX_DISCARDED_BYTES, NEW_CONNECTION_GRACE};
 
 /// Time limit for a write to a client that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The answer to a client whose request does not fit into the memory.
+pub const OUT_OF_MEMORY: Rejection = Rejection { status: 503, reason: "out of memory: ask again" };
+
+/// The answer to a client with part of a request whose connection makes room for another one.
+const TOO_MANY_CONNECTIONS: Rejection = Rejection { status: 408, reason: "too many connections" };
+
 /// A complete answer that is not a stream.
 pub fn plain_response(status: u16, why: &str, keep_alive: bool, retry_after: Option<Duration>) -> String {
     let reason = match status {
@@ -151,10 +158,10 @@
         self.end_if(|busy| busy == 0, "")
     }
 
-    /// Like [`Client::end_if_idle`], also if part of a request has been received: then the client gets an
-    /// answer that says so.
-    fn end_if_no_whole_request(&self, status: u16, why: &str) -> bool {
-        self.end_if(|busy| busy & !PARTIAL_FLAG == 0, &plain_response(status, why, false, None))
+    /// Like [`Client::end_if_idle`], also if part of a request has been received: then the client gets this
+    /// answer.
+    fn end_if_no_whole_request(&self, Rejection { status, reason }: Rejection) -> bool {
+        self.end_if(|busy| busy & !PARTIAL_FLAG == 0, &plain_response(status, reason, false, None))
     }
 
     /// Reads and discards input up to a limit, so that the client's disconnect is noticed; ends when the
@@ -238,7 +245,7 @@
         shared
             .socket_budget
             .client_to_evict(candidates)
-            .is_some_and(|index| open[index].end_if_no_whole_request(408, "too many connections"))
+            .is_some_and(|index| open[index].end_if_no_whole_request(TOO_MANY_CONNECTIONS))
     }
 
     /// Rejects the unfinished request of a client to free its memory for the one of `own`; false if that one has
@@ -250,8 +257,7 @@
         let candidates = open.iter().filter(|(_, client)| may_be_rejected(client) && client.has_partial());
         let candidates = candidates.map(|(index, client)| (index, client.unfinished_request()));
         let Some(index) = memory_budget::request_to_reject(candidates) else { return false };
-        !std::ptr::eq(&*open[index], own)
-            && open[index].end_if_no_whole_request(503, "out of memory: ask again")
+        !std::ptr::eq(&*open[index], own) && open[index].end_if_no_whole_request(OUT_OF_MEMORY)
     }
 }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -22,6 +22,9 @@
 use tulipstall_platform::host::ForwardedCall;
 use tulipstall_platform::socket_budget::{Eviction, LINGER_TIMEOUT, REQUEST_TIMEOUT};
 
+/// Advice of when to retry, where another dispatcher or a moment later will do.
+const RETRY_SOON: Duration = Duration::from_millis(200);
+
 /// Messages to the coroutine that answers.
 pub enum Message {
     Request(ReceivedRequest),
@@ -103,7 +106,7 @@
             };
             if !has_room {
                 tracing::debug!(clients, held, "client rejected: no socket left");
-                let retry_after = shared.retry_advice(Duration::from_millis(200));
+                let retry_after = shared.retry_advice(RETRY_SOON);
                 let _ = link.write_available(
                     plain_response(503, "too many connections", false, retry_after).as_bytes(),
                 );
@@ -244,8 +247,7 @@
                 }
                 Message::Continue => self.client.write(b"HTTP/1.1 100 Continue\r\n\r\n").is_ok(),
                 Message::Rejected(Rejection { status, reason }) => {
-                    let retry_after = Duration::from_millis(200);
-                    let advice = (status == 503).then(|| self.shared.retry_advice(retry_after)).flatten();
+                    let advice = (status == 503).then(|| self.shared.retry_advice(RETRY_SOON)).flatten();
                     let _ = self.respond(status, reason, false, advice);
                     false
                 }
@@ -302,7 +304,7 @@
     }
 
     fn reject_stopping(&self) -> bool {
-        self.respond(503, "stopping: ask again", false, self.shared.retry_advice(Duration::from_millis(200)))
+        self.respond(503, "stopping: ask again", false, self.shared.retry_advice(RETRY_SOON))
     }
 
     /// Answers one request; returns whether the connection continues.
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -131,9 +131,9 @@
     /// The next endpoint to ask for the release of what is held for a request, given the holder and those
     /// that have been asked.
     pub fn next_to_ask(&self, holder: &str, asked: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
-        let endpoints = lock(&self.endpoints);
-        let open: Vec<&Arc<Endpoint>> = endpoints.values().filter(|endpoint| endpoint.is_open()).collect();
-        let candidate = |endpoint: &&Arc<Endpoint>| release::Candidate {
+        let open: Vec<Arc<Endpoint>> =
+            lock(&self.endpoints).values().filter(|endpoint| endpoint.is_open()).cloned().collect();
+        let candidate = |endpoint: &Arc<Endpoint>| release::Candidate {
             zone: endpoint.zone,
             in_own_zone: Some(endpoint.zone) == self.own_zone,
             suspected: endpoint.suspected.load(Ordering::Relaxed),
@@ -215,8 +215,8 @@
                     previous.set_status(HostStatus::Gone);
                 }
             }
+            shared.request_memory.set_hosts(endpoints.len());
         }
-        shared.request_memory.set_hosts(lock(&self.endpoints).len());
         tracing::info!(seq = list.seq, whole = complete, hosts = list.hosts.len(), "list taken");
         if shared.host_changes.add(complete, rows) {
             shared.owner_queue.send(OwnerMessage::HostsChanged);
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -50,7 +50,7 @@
         self.rejected.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Logs the highest use if it has grown, or if requests have been rejected since the last report. Clears both.
+    /// Logs the highest use since the last report, as a warning if requests have been rejected since then.
     pub fn report(&self) {
         let rejected = self.rejected.swap(0, Ordering::Relaxed);
         let highest = self.highest.swap(self.held(), Ordering::Relaxed);
@@ -110,18 +110,23 @@
 
     /// Gives back all but `bytes`.
     pub fn shrink(&mut self, bytes: usize) {
-        drop(self.split_off(self.bytes.saturating_sub(bytes)));
+        let excess = self.bytes.saturating_sub(bytes);
+        self.memory.give_back(self.kind, excess);
+        self.bytes -= excess;
     }
 
     /// Changes the size of the lease. False, and nothing is changed, if the limits do not allow it to grow.
     #[must_use]
     pub fn try_resize(&mut self, bytes: usize) -> bool {
-        if bytes > self.bytes && !self.memory.try_add(self.kind, bytes, bytes - self.bytes) {
-            return false;
+        if bytes <= self.bytes {
+            self.shrink(bytes);
+            return true;
+        }
+        let added = self.memory.try_add(self.kind, bytes, bytes - self.bytes);
+        if added {
+            self.bytes = bytes;
         }
-        self.shrink(bytes);
-        self.bytes = bytes;
-        true
+        added
     }
 
     /// Splits off the memory of a part of the request that is freed on its own.
--- a/crates/node/src/receive.rs
+++ b/crates/node/src/receive.rs
@@ -1,7 +1,7 @@
 //! Reads the requests of one client connection.
 
 use crate::Shared;
-use crate::client::Client;
+use crate::client::{Client, OUT_OF_MEMORY};
 use crate::front::Message;
 use crate::memory::{Body, MemoryLease};
 use may::sync::mpsc::Sender;
@@ -23,9 +23,6 @@
 /// requests would hide whether the client is still connected.
 const TOO_FAR_AHEAD: RequestError = RequestError::Malformed("too many requests at once");
 
-/// The answer to a client whose request does not fit into the memory.
-const OUT_OF_MEMORY: Rejection = Rejection { status: 503, reason: "too much is held for others: ask again" };
-
 /// How often a request that waits for the memory of a rejected one looks whether it is free, and the interval.
 const MEMORY_POLLS: u32 = 5;
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(1);
