Tests: guard the names' limit, evictions and the limit of what is read ahead

In the optimized test build the names of 24,000 requests fit into 40 MB: now 56,000 requests and 32 MB. Nothing needed the rejection of unfinished requests, nor the limit for requests read ahead: two tests send large usual requests beside both.

The usual clients of the tests take the size of their body as an argument; assertions are as they were.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -45,6 +45,11 @@
     )
 }
 
+/// A valid chat request after whose answer the connection is closed.
+fn last_request_of(id: &str, body_bytes: usize) -> String {
+    request_of(id, body_bytes, 2500).replacen("X-Lane", "Connection: close\r\nX-Lane", 1)
+}
+
 /// An unfinished request with its length replaced by the chunked coding.
 fn chunked(unfinished: &str) -> String {
     let (head, body) = unfinished.split_once("\r\n\r\n").expect("a head");
@@ -70,12 +75,11 @@
 
 /// Whether a usual client gets its answer. The hosts may be busy with the burst of other clients: then it asks again, as it
 /// is told to. Any other refusal counts as a failure.
-fn usual_client_is_served(address: SocketAddr, number: usize) -> bool {
+fn usual_client_is_served(address: SocketAddr, number: usize, body_bytes: usize) -> bool {
     let mut answer = String::new();
     for attempt in 0..USUAL_ATTEMPTS {
         let id = format!("usual{number:05}x{attempt}");
-        let text = request_of(&id, USUAL_BODY_BYTES, 2500);
-        answer = exchange(address, &text.replacen("X-Lane", "Connection: close\r\nX-Lane", 1));
+        answer = exchange(address, &last_request_of(&id, body_bytes));
         if is_served(&answer, &id) {
             return true;
         }
@@ -138,7 +142,7 @@
             while !ended.load(Ordering::SeqCst) {
                 let (number, counts) = (counts.sent.fetch_add(1, Ordering::SeqCst), counts.clone());
                 clients.push(thread::spawn(move || {
-                    let served = usual_client_is_served(address, number);
+                    let served = usual_client_is_served(address, number, USUAL_BODY_BYTES);
                     counts.served.fetch_add(usize::from(served), Ordering::SeqCst);
                 }));
                 thread::sleep(USUAL_INTERVAL);
@@ -177,37 +181,75 @@
     assert_eq!(served, sent, "{name}: usual requests were not served");
 }
 
-/// Clients that send all but the last bytes of large requests fill the memory. Without a budget for what is received, the
-/// process grows by a body for each of them and is killed, and every usual client loses its request.
+/// Starts clients that send all but the last bytes of large requests and stay.
+fn start_unfinished_requests(address: SocketAddr) -> Vec<JoinHandle<Duration>> {
+    let unfinished = |i: usize| {
+        let mut text = request_of(&format!("unfinished{i:03}"), MAX_BODY_BYTES, 5000);
+        text.truncate(text.len() - 4);
+        if i.is_multiple_of(2) { text } else { chunked(&text) }
+    };
+    (0..BAD_CLIENTS).map(|i| start_bad_client(address, unfinished(i))).collect()
+}
+
+/// Unfinished requests fill the memory. Without a budget for what is received, the process grows by a body for each of
+/// them and is killed, and every usual client loses its request.
 #[test]
 fn unfinished_requests_stay_within_the_memory_limit() {
     for (name, memory_mb, sockets) in [("unfinished80", 80, 1024), ("unfinished48", 48, 1024)] {
         let node = LimitedNode::start(name, memory_mb, sockets);
-        check(name, &node, || {
-            let unfinished = |i: usize| {
-                let mut text = request_of(&format!("unfinished{i:03}"), MAX_BODY_BYTES, 5000);
-                text.truncate(text.len() - 4);
-                if i.is_multiple_of(2) { text } else { chunked(&text) }
-            };
-            (0..BAD_CLIENTS).map(|i| start_bad_client(node.address, unfinished(i))).collect()
-        });
+        check(name, &node, || start_unfinished_requests(node.address));
     }
 }
 
+/// Large usual requests arrive while unfinished ones hold all the memory that large ones may have. Unless those are rejected
+/// for them, they are turned away for as long as their senders stay.
+#[test]
+fn unfinished_requests_give_way_to_large_ones() {
+    let node = LimitedNode::start("give-way", 48, 1024);
+    let bad_clients = start_unfinished_requests(node.address);
+    // The memory is full, and no bad client has been answered for its time yet.
+    thread::sleep(ms(700));
+    for i in 0..10 {
+        let id = format!("large{i}");
+        let answer = exchange(node.address, &last_request_of(&id, MAX_BODY_BYTES));
+        assert!(is_served(&answer, &id), "{id}: {}", answer.lines().last().unwrap_or_default());
+    }
+    let slowest = slowest(bad_clients);
+    assert!(slowest < BAD_CLIENT_LIMIT, "a bad client waited for {slowest:?}");
+}
+
+/// Starts clients that send several large requests at once, of which the first, a small one, is answered slowly.
+fn start_requests_ahead(node: &LimitedNode, delay_ms: u64) -> Vec<JoinHandle<Duration>> {
+    const CLIENTS: usize = BAD_CLIENTS / 2;
+    node.writes.lock().expect("no panic").extend([ScriptedReply::DelayMs(delay_ms); CLIENTS]);
+    let text = |i: usize| -> String {
+        let first = request_of(&format!("ahead{i:03}"), 1000, 2500);
+        let others = (0..3).map(|k| request_of(&format!("ahead{i:03}x{k}"), MAX_BODY_BYTES, 2500));
+        first + &others.collect::<String>()
+    };
+    (0..CLIENTS).map(|i| start_bad_client(node.address, text(i))).collect()
+}
+
 /// Clients send several large requests at once, while the first of them is pending. Without a limit for what is read
 /// ahead, each connection holds up to four bodies.
 #[test]
 fn requests_read_ahead_stay_within_the_memory_limit() {
     let node = LimitedNode::start("ahead", 48, 512);
-    node.writes.lock().expect("no panic").extend([ScriptedReply::DelayMs(300); 200]);
-    check("ahead", &node, || {
-        let text = |i: usize| -> String {
-            let first = request_of(&format!("ahead{i:03}"), 1000, 2500);
-            let others = (0..3).map(|k| request_of(&format!("ahead{i:03}x{k}"), MAX_BODY_BYTES, 2500));
-            first + &others.collect::<String>()
-        };
-        (0..BAD_CLIENTS / 2).map(|i| start_bad_client(node.address, text(i))).collect()
-    });
+    check("ahead", &node, || start_requests_ahead(&node, 300));
+}
+
+/// Large usual requests arrive while others are read ahead, which cannot be rejected as long as one before them is pending.
+/// Unless what is read ahead has a limit of its own, there is no memory for the usual ones.
+#[test]
+fn requests_read_ahead_leave_memory_to_large_ones() {
+    let node = LimitedNode::start("ahead-large", 48, 512);
+    let bad_clients = start_requests_ahead(&node, 1500);
+    thread::sleep(ms(400));
+    for number in 0..3 {
+        assert!(usual_client_is_served(node.address, number, MAX_BODY_BYTES), "large request {number}");
+    }
+    let slowest = slowest(bad_clients);
+    assert!(slowest < BAD_CLIENT_LIMIT, "a bad client waited for {slowest:?}");
 }
 
 /// Large whole requests whose hosts answer slowly are kept to be sent again. What does not fit is turned away at once;
@@ -244,8 +286,8 @@
 #[test]
 fn names_of_sessions_stay_within_the_memory_limit() {
     const CLIENTS: usize = 8;
-    const REQUESTS: usize = 3000;
-    let node = LimitedNode::start("names", 40, 256);
+    const REQUESTS: usize = 7000;
+    let node = LimitedNode::start("names", 32, 256);
     let (name, address) = ("n".repeat(110), node.address);
     let client = |c: usize| {
         let name = name.clone();
