--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -21,29 +21,6 @@
     format!("9b1f03aa{number:08x}")
 }
 
-/// Healthy hosts; of every third stream a second answer comes some milliseconds behind the first.
-struct SecondAnswers {
-    trouble: bool,
-}
-
-impl Plays for SecondAnswers {
-    fn read_time(&self, _host: &str, id: &str) -> Duration {
-        ms(40 + number_of(id) % 30)
-    }
-
-    fn answer(&self, _host: &str, id: &str) -> Answer {
-        let number = number_of(id);
-        let second = self.trouble && number % 3 == 0;
-        Answer {
-            first: ms(40 + number % 20),
-            events: 25 + (number % 12) as u32,
-            gap: ms(240),
-            second_after: second.then(|| ms(2 + number / 3 % 9)),
-            endless: None,
-        }
-    }
-}
-
 /// Clients that ask at a steady rate, each over a connection of its own, spread over the dispatchers by their
 /// numbers.
 struct Load {
@@ -96,33 +73,12 @@
     effect: "pure",
     deadline_ms: 6000,
     registry: "pushed",
+    drain_ms: 250,
+    release_ms: 1000,
     memory_mb: 128,
     sockets: 1024,
 };
 
-/// A client gets nothing but what was made for its request.
-fn second_answers(call: &Call, record: &Arc<Record>) -> Result<Vec<String>, Unfit> {
-    let plays = Arc::new(SecondAnswers { trouble: call.trouble });
-    let platform = Platform::start(record, SETUP.dispatchers, (5, 4, 0), plays);
-    let mut dispatchers = Dispatchers::start(&platform, &SETUP)?;
-    let mut load = Load::new(record, &dispatchers);
-    for _ in 0..1400 {
-        load.next(20, 6000, ms(7000));
-    }
-    let mut breaks = Vec::new();
-    for (number, seen) in load.end() {
-        let id = id_of(number);
-        if let Some((_, text)) =
-            seen.events.iter().find(|(_, text)| text.contains("\"content\"") && !text.contains(&id))
-        {
-            let text = text.lines().next().unwrap_or_default();
-            breaks.push(format!("the client of {id} was given {text}; its answer ended {:?}", seen.end));
-        }
-    }
-    breaks.extend(crashes(&mut dispatchers));
-    Ok(breaks)
-}
-
 /// Healthy hosts; of every tenth stream one event never ends.
 struct EndlessEvents {
     trouble: bool,
@@ -137,10 +93,11 @@
         let number = number_of(id);
         let endless = self.trouble && number % 10 == 3;
         Answer {
+            hint_ahead: false,
+            wait: Duration::ZERO,
             first: ms(40 + number % 20),
             events: 25 + (number % 12) as u32,
             gap: ms(240),
-            second_after: None,
             // The next tokens come at the pace of the stream, but their event has no end.
             endless: endless.then_some((5, 16, ms(240))),
         }
@@ -177,7 +134,7 @@
 #[derive(Default)]
 struct Arrivals {
     all: Mutex<Vec<(Instant, String, u64)>>,
-    answer_events: u32,
+    /// Least milliseconds of a read.
     reads: u64,
 }
 
@@ -187,8 +144,8 @@
     }
 
     fn answer(&self, _host: &str, id: &str) -> Answer {
-        let (first, events) = (ms(40 + number_of(id) % 20), self.answer_events);
-        Answer { first, events, gap: ms(240), second_after: None, endless: None }
+        let (wait, first) = (Duration::ZERO, ms(40 + number_of(id) % 20));
+        Answer { hint_ahead: false, wait, first, events: 12, gap: ms(240), endless: None }
     }
 
     fn arrived(&self, host: &str, id: &str, first_byte: Instant) {
@@ -196,221 +153,229 @@
     }
 }
 
+/// Healthy hosts, at which requests wait for a slot for half a second; every third writer's answer has a 1xx ahead.
+struct HintsAhead {
+    trouble: bool,
+}
+
+impl Plays for HintsAhead {
+    fn read_time(&self, _host: &str, id: &str) -> Duration {
+        ms(60 + number_of(id) % 30)
+    }
+
+    fn answer(&self, _host: &str, id: &str) -> Answer {
+        let number = number_of(id);
+        let (hint_ahead, wait) = (self.trouble && number % 3 == 0, ms(450 + number % 150));
+        Answer { hint_ahead, wait, first: ms(40), events: 12, gap: ms(240), endless: None }
+    }
+}
+
+/// While no attempt of a request is out, its state is not held for longer than the settings say and 300 ms.
+fn hints_ahead(call: &Call, record: &Arc<Record>) -> Result<Vec<String>, Unfit> {
+    // The request may not be repeated.
+    let setup = Setup { effect: "side_effect", ..SETUP };
+    let limit = ms(setup.release_ms + 300 + 50);
+    let platform =
+        Platform::start(record, setup.dispatchers, (5, 4, 0), Arc::new(HintsAhead { trouble: call.trouble }));
+    let mut dispatchers = Dispatchers::start(&platform, &setup)?;
+    let mut load = Load::new(record, &dispatchers);
+    let mut overdue = Vec::new();
+    for _ in 0..400 {
+        load.next(10, 6000, ms(8000));
+        overdue.extend(platform.overdue_states(limit));
+    }
+    let answers = load.end();
+    overdue.extend(platform.overdue_states(limit));
+    // Long after the last request has ended.
+    thread::sleep(ms(5000));
+    let mut breaks = Vec::new();
+    for (id, host) in overdue {
+        let seen = answers.iter().find(|(number, _)| id_of(*number) == id).map(|(_, seen)| seen.end);
+        let still = if platform.holds(&id) { "to the end of the run" } else { "too long" };
+        breaks.push(format!("{host} held the state of {id} {still}; its client's answer: {seen:?}"));
+    }
+    breaks.extend(crashes(&mut dispatchers));
+    Ok(breaks)
+}
+
+/// Two hosts that drain, what is known of it, and their end: a host ends its process once it has finished what it had
+/// when the last dispatcher's grace was over.
+struct Drain {
+    hosts: [String; 2],
+    seq: u64,
+    had: Instant,
+    /// From when on each dispatcher may send them nothing.
+    from: Vec<Option<Instant>>,
+    is_over: bool,
+}
+
+/// The longest stream of `Arrivals`, with the fetch of its state and some time to spare.
+const STREAM: Duration = Duration::from_millis(12 * 240 + 320);
+
+impl Drain {
+    fn begin(platform: &Platform, episode: usize, dispatchers: usize) -> Drain {
+        let hosts = [format!("s-r{episode}"), format!("s-w{episode}")];
+        platform.set_health(&hosts[0], "leaving");
+        let seq = platform.set_health(&hosts[1], "leaving");
+        Drain { hosts, seq, had: Instant::now(), from: vec![None; dispatchers], is_over: false }
+    }
+
+    /// Ends the hosts when it is time to, and lists others in their place.
+    fn end_when_due(&mut self, platform: &Platform) {
+        let due = self
+            .from
+            .iter()
+            .copied()
+            .collect::<Option<Vec<Instant>>>()
+            .and_then(|from| from.into_iter().max());
+        if !self.is_over && due.is_some_and(|from| Instant::now() > from + STREAM) {
+            self.is_over = true;
+            for host in &self.hosts {
+                platform.end_host(host);
+                platform.set_health(host, "left");
+                // The fifth reader and the fourth writer are the first spare ones.
+                let (kind, number) = (&host[..3], host[3..].parse::<usize>().unwrap_or(0));
+                platform
+                    .set_health(&format!("{kind}{}", number + if kind == "s-r" { 5 } else { 4 }), "active");
+            }
+        }
+    }
+}
+
+/// The requests that came to draining hosts after each dispatcher's grace, and what became of them.
+fn late_sends(plays: &Arrivals, drains: &[Drain], answers: &[(u64, Seen)]) -> Vec<String> {
+    let mut breaks = Vec::new();
+    for (at, host, number) in plays.all.lock().unwrap().iter() {
+        let Some(drain) = drains.iter().find(|drain| drain.hosts.contains(host)) else { continue };
+        let dispatcher = *number as usize % drain.from.len();
+        let Some(from) = drain.from[dispatcher].filter(|from| at > from) else { continue };
+        let late = (*at - from).as_millis();
+        let end =
+            answers.iter().find(|(other, _)| other == number).map(|(_, seen)| (seen.end, seen.events.len()));
+        let what = match end {
+            Some((End::Cut, events)) => {
+                format!("LOST: its stream broke with the host's process after {events} events")
+            }
+            other => format!("its client's answer: {other:?}"),
+        };
+        breaks.push(format!(
+            "n{dispatcher} sent {} to {host} {late} ms after its grace was over; {what}",
+            id_of(*number)
+        ));
+    }
+    // Those that were lost by it come first.
+    breaks.sort_by_key(|text| !text.contains("LOST"));
+    breaks
+}
+
+/// A deployment whose lists are asked for, with the figures of its site.
+const ASKED: Setup = Setup {
+    dispatchers: 3,
+    effect: "side_effect",
+    deadline_ms: 7000,
+    registry: "on_request",
+    drain_ms: 600,
+    ..SETUP
+};
+const GRACE: Duration = Duration::from_millis(ASKED.drain_ms + 50);
+
 /// Nothing goes to a draining host later than the grace after the dispatcher counts as told of it: 6 s after
 /// discovery had the change and could be reached, or earlier if it was told earlier.
 fn crowded_discovery(call: &Call, record: &Arc<Record>) -> Result<Vec<String>, Unfit> {
-    const GRACE: Duration = Duration::from_millis(250 + 50);
-    let plays = Arc::new(Arrivals { answer_events: 12, reads: 40, ..Arrivals::default() });
-    let setup = Setup { dispatchers: 3, registry: "on_request", ..SETUP };
-    let platform = Platform::start(record, setup.dispatchers, (5, 4, 4), plays.clone());
-    let mut dispatchers = Dispatchers::start(&platform, &setup)?;
+    let plays = Arc::new(Arrivals { reads: 40, ..Arrivals::default() });
+    let platform = Platform::start(record, ASKED.dispatchers, (5, 4, 4), plays.clone());
+    let mut dispatchers = Dispatchers::start(&platform, &ASKED)?;
     let mut load = Load::new(record, &dispatchers);
-    // Host, and from when on each dispatcher may send it nothing.
-    let mut closed: Vec<(String, Vec<Instant>)> = Vec::new();
+    let mut drains: Vec<Drain> = Vec::new();
     for episode in 0..4 {
         let begun = Instant::now();
-        let mut drained: Option<(u64, Instant)> = None;
         if call.trouble {
             platform.agents.iter().for_each(|agent| agent.refuse(5));
         }
-        // Each episode takes 24 s: some 6 s of refusals, then the longest pause, and some rest.
-        let (reader, writer) = (format!("s-r{episode}"), format!("s-w{episode}"));
-        let mut reachable: Vec<Option<Instant>> = vec![None; setup.dispatchers];
-        while begun.elapsed() < ms(24_000) {
-            load.next(30, 6000, ms(7000));
-            for (agent, reachable) in platform.agents.iter().zip(&mut reachable) {
-                let (left, last) = agent.refusals();
-                if reachable.is_none() && (left == 0 || !call.trouble) {
-                    *reachable = last.or(Some(begun));
-                }
-            }
-            // No call is open any more, as each was refused one at least.
+        // Some 6 s of refusals, then the longest pause, and some rest.
+        while begun.elapsed() < ms(25_000) {
+            load.next(30, 7000, ms(8000));
+            // No call is open any more, as each dispatcher was refused one at least.
             let all_refused = platform.agents.iter().all(|agent| agent.refusals().0 < 5);
-            if drained.is_none() && begun.elapsed() > ms(3000) && all_refused {
-                platform.set_health(&reader, "leaving");
-                drained = Some((platform.set_health(&writer, "leaving"), Instant::now()));
+            if drains.len() == episode && begun.elapsed() > ms(3000) && all_refused {
+                drains.push(Drain::begin(&platform, episode, ASKED.dispatchers));
             }
+            let Some(drain) = drains.get_mut(episode) else { continue };
+            for (me, agent) in platform.agents.iter().enumerate() {
+                // Out of reach until its last refusal.
+                if let (0, last) = agent.refusals() {
+                    let counts = last.filter(|_| call.trouble).map_or(drain.had, |last| last.max(drain.had))
+                        + ms(6000);
+                    let told = agent.told_at(drain.seq).map_or(counts, |told| told.min(counts));
+                    drain.from[me] = Some(told + GRACE);
+                }
+            }
+            drain.end_when_due(&platform);
         }
-        let (Some((seq, had)), true) = (drained, reachable.iter().all(Option::is_some)) else {
+        if !drains.get(episode).is_some_and(|drain| drain.is_over) {
             return Err("discovery was not asked as often as expected".into());
-        };
-        let mut from = Vec::new();
-        for (agent, reachable) in platform.agents.iter().zip(reachable) {
-            let counts = had.max(reachable.unwrap_or(had)) + ms(6000);
-            from.push(agent.told_at(seq).map_or(counts, |told| told.min(counts)) + GRACE);
         }
-        closed.push((reader.clone(), from.clone()));
-        closed.push((writer.clone(), from));
-        // What drained is gone, and others have come in its place.
-        platform.set_health(&reader, "left");
-        platform.set_health(&writer, "left");
-        platform.set_health(&format!("s-r{}", 5 + episode), "active");
-        platform.set_health(&format!("s-w{}", 4 + episode), "active");
     }
-    load.end();
-    let mut breaks = late_sends(&plays, &closed, setup.dispatchers);
+    let mut breaks = late_sends(&plays, &drains, &load.end());
     breaks.extend(crashes(&mut dispatchers));
     Ok(breaks)
 }
 
-/// The requests that came to hosts after each dispatcher's grace: the hosts with the ends of the graces.
-fn late_sends(plays: &Arrivals, closed: &[(String, Vec<Instant>)], dispatchers: usize) -> Vec<String> {
-    let mut breaks = Vec::new();
-    for (at, host, number) in plays.all.lock().unwrap().iter() {
-        let dispatcher = *number as usize % dispatchers;
-        for (_, from) in closed.iter().filter(|(name, from)| name == host && *at > from[dispatcher]) {
-            let late = (*at - from[dispatcher]).as_millis();
-            breaks.push(format!(
-                "n{dispatcher} sent {} to {host} {late} ms after its grace was over",
-                id_of(*number)
-            ));
-        }
-    }
-    breaks
-}
-
 /// As above, where discovery moves while it refuses calls: 4 s after SIGHUP a dispatcher counts as told of what the new
 /// one has.
 fn moved_discovery(call: &Call, record: &Arc<Record>) -> Result<Vec<String>, Unfit> {
-    const GRACE: Duration = Duration::from_millis(250 + 50);
-    const DISPATCHERS: usize = 3;
-    let plays = Arc::new(Arrivals { answer_events: 12, reads: 40, ..Arrivals::default() });
-    let setup = Setup { dispatchers: DISPATCHERS, registry: "on_request", ..SETUP };
-    let platform = Platform::start(record, 3 * DISPATCHERS, (5, 4, 2), plays.clone());
-    let mut dispatchers = Dispatchers::start(&platform, &setup)?;
+    const DISPATCHERS: usize = ASKED.dispatchers;
+    const EPISODES: usize = 3;
+    let plays = Arc::new(Arrivals { reads: 40, ..Arrivals::default() });
+    let platform = Platform::start(record, (EPISODES + 1) * DISPATCHERS, (5, 4, 4), plays.clone());
+    let mut dispatchers = Dispatchers::start(&platform, &ASKED)?;
     let mut load = Load::new(record, &dispatchers);
-    let mut closed: Vec<(String, Vec<Instant>)> = Vec::new();
-    for episode in 0..2 {
+    let mut drains: Vec<Drain> = Vec::new();
+    for episode in 0..EPISODES {
         let begun = Instant::now();
         let (old, new) = (episode * DISPATCHERS, (episode + 1) * DISPATCHERS);
         if call.trouble {
             platform.agents[old..new].iter().for_each(|agent| agent.refuse(u32::MAX));
         }
         let refused = |agent: usize| u32::MAX - platform.agents[agent].refusals().0;
-        let (reader, writer) = (format!("s-r{episode}"), format!("s-w{episode}"));
         let mut moved: Vec<Option<Instant>> = vec![None; DISPATCHERS];
-        let mut drained: Option<(u64, Instant)> = None;
-        while begun.elapsed() < ms(32_000) {
-            load.next(30, 6000, ms(7000));
+        while begun.elapsed() < ms(30_000) {
+            load.next(30, 7000, ms(8000));
             // Two hosts begin to drain once no call is open any more.
             let all_refused = !call.trouble || (old..new).all(|agent| refused(agent) > 0);
-            if drained.is_none() && begun.elapsed() > ms(3000) && all_refused {
-                platform.set_health(&reader, "leaving");
-                drained = Some((platform.set_health(&writer, "leaving"), Instant::now()));
+            if drains.len() == episode && begun.elapsed() > ms(3000) && all_refused {
+                drains.push(Drain::begin(&platform, episode, DISPATCHERS));
             }
+            let Some(drain) = drains.get_mut(episode) else { continue };
             for me in 0..DISPATCHERS {
-                let due = drained.is_some() && (!call.trouble || refused(old + me) >= 5);
-                if due && moved[me].is_none() {
+                if moved[me].is_none() && (!call.trouble || refused(old + me) >= 5) {
                     platform.agents[old + me].retire();
-                    moved[me] = Some(dispatchers.move_discovery(&platform, &setup, me, new + me)?);
-                    record.add(format!("platform: SIGHUP to n{me}, discovery moves to address {}", new + me));
+                    moved[me] = Some(dispatchers.move_discovery(&platform, &ASKED, me, new + me)?);
+                    record.add(format!("platform: SIGHUP to n{me}, its discovery is now {}", new + me));
+                }
+                if let Some(moved) = moved[me] {
+                    let told = [old + me, new + me]
+                        .into_iter()
+                        .filter_map(|agent| platform.agents[agent].told_at(drain.seq));
+                    drain.from[me] = Some(told.fold(drain.had.max(moved) + ms(4000), Instant::min) + GRACE);
                 }
             }
+            drain.end_when_due(&platform);
         }
-        let Some((seq, had)) = drained else {
+        if !drains.get(episode).is_some_and(|drain| drain.is_over) {
             return Err("discovery was not asked as often as expected".into());
-        };
-        let mut from = Vec::new();
-        for (me, moved) in moved.into_iter().enumerate() {
-            let Some(moved) = moved else {
-                return Err("discovery was not asked as often as expected".into());
-            };
-            let told =
-                [old + me, new + me].into_iter().filter_map(|agent| platform.agents[agent].told_at(seq));
-            from.push(told.fold(had.max(moved) + ms(4000), Instant::min) + GRACE);
         }
-        closed.push((reader.clone(), from.clone()));
-        closed.push((writer.clone(), from));
-        platform.set_health(&reader, "left");
-        platform.set_health(&writer, "left");
-        platform.set_health(&format!("s-r{}", 5 + episode), "active");
-        platform.set_health(&format!("s-w{}", 4 + episode), "active");
     }
-    load.end();
-    let mut breaks = late_sends(&plays, &closed, DISPATCHERS);
+    let mut breaks = late_sends(&plays, &drains, &load.end());
     breaks.extend(crashes(&mut dispatchers));
     Ok(breaks)
 }
 
-/// Each client sends two requests at once over one connection. The answer to the first one ends while there is time
-/// left for the second one, which has to get its final answer: at most half a second after its time.
-fn pipelined(call: &Call, record: &Arc<Record>) -> Result<Vec<String>, Unfit> {
-    const TIME: u64 = 3000;
-    let plays = Arc::new(Pipelined::default());
-    let platform = Platform::start(record, SETUP.dispatchers, (5, 4, 0), plays.clone());
-    let mut dispatchers = Dispatchers::start(&platform, &SETUP)?;
-    let mut clients = Vec::new();
-    for number in 0..60 {
-        let (address, record, trouble) = (dispatchers.addresses[number % 2], record.clone(), call.trouble);
-        clients.push(thread::spawn(move || {
-            let ids = [id_of(2 * number as u64), id_of(2 * number as u64 + 1)];
-            let text = |i: usize| request_text(&ids[i], &format!("e{}", ids[i]), TIME, [1000, 12_000][i]);
-            let mut wire = Wire::connect(address).ok()?;
-            let mut sent = Instant::now();
-            record.add(format!("client: sends {}", ids[0]));
-            wire.stream.write_all(text(0).as_bytes()).ok()?;
-            if trouble {
-                record.add(format!("client: sends {}", ids[1]));
-                wire.stream.write_all(text(1).as_bytes()).ok()?;
-            }
-            let first = read_answer(&mut wire, ms(9000));
-            record.add(format!(
-                "client: {} ends {:?} after {} events",
-                ids[0],
-                first.end,
-                first.events.len()
-            ));
-            // Only where the first answer has left time for the second one.
-            if first.end != End::Whole || (trouble && sent.elapsed() + ms(50) > ms(TIME)) {
-                return None;
-            }
-            if !trouble {
-                sent = Instant::now();
-                record.add(format!("client: sends {}", ids[1]));
-                wire.stream.write_all(text(1).as_bytes()).ok()?;
-            }
-            let second = read_answer(&mut wire, ms(9000));
-            // The client owns an answer from its first event on.
-            let answered = second.events.first().map_or(second.at, |(at, _)| *at);
-            let after = (answered - sent).as_millis() as u64;
-            record.add(format!("client: {} is answered after {after} ms and ends {:?}", ids[1], second.end));
-            Some((ids[1].clone(), after, second.end))
-        }));
-        thread::sleep(ms(500));
-    }
-    let results: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok().flatten()).collect();
-    if results.len() < 30 {
-        return Err("too few first answers ended in time".into());
-    }
-    let late = results.into_iter().filter(|(_, after, end)| *after > TIME + 500 || *end == End::Silent);
-    let mut breaks: Vec<String> = late
-        .map(|(id, after, end)| {
-            format!("{id}, with {TIME} ms to wait, was answered after {after} ms: {end:?}")
-        })
-        .collect();
-    breaks.extend(crashes(&mut dispatchers));
-    Ok(breaks)
-}
-
-/// Healthy hosts: a read takes as long as its prompt at 13,000 tokens a second; streams are short.
-#[derive(Default)]
-struct Pipelined;
-
-impl Plays for Pipelined {
-    fn read_time(&self, _host: &str, id: &str) -> Duration {
-        if number_of(id) % 2 == 0 { ms(80) } else { ms(920) }
-    }
-
-    fn answer(&self, _host: &str, _id: &str) -> Answer {
-        Answer { first: ms(50), events: 11, gap: ms(240), second_after: None, endless: None }
-    }
-}
-
 /// Over its limit of memory a dispatcher is killed, as the platform does it here: then it has crashed. Hundreds of
 /// clients send the same again as soon as it is turned away; beside them usual clients ask.
 fn impatient_clients(call: &Call, record: &Arc<Record>) -> Result<Vec<String>, Unfit> {
     const IMPATIENT: u64 = 300;
-    let plays = Arc::new(Arrivals { answer_events: 12, reads: 300, ..Arrivals::default() });
+    let plays = Arc::new(Arrivals { reads: 300, ..Arrivals::default() });
     let setup = Setup { memory_mb: 32, ..SETUP };
     let platform = Platform::start(record, setup.dispatchers, (5, 4, 0), plays);
     let mut dispatchers = Dispatchers::start(&platform, &setup)?;
@@ -480,11 +445,10 @@
     let call = Call { folder: PathBuf::from(folder), trouble: trouble != "0" };
     let case = match name.as_str() {
         "impatient-clients" => impatient_clients,
-        "second-answers" => second_answers,
         "endless-events" => endless_events,
         "crowded-discovery" => crowded_discovery,
         "moved-discovery" => moved_discovery,
-        "pipelined" => pipelined,
+        "hints-ahead" => hints_ahead,
         _ => {
             eprintln!("no such case: {name}");
             std::process::exit(2);
--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the platform, its model hosts and its clients, and what all cases of this review share.
 //! Only the standard library; every address is a loopback one.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt::Write as _;
 use std::fs;
 use std::io::{self, Read, Write};
@@ -180,12 +180,14 @@
 /// How a writer streams one answer.
 #[derive(Clone, Copy)]
 pub struct Answer {
-    /// From the request's last byte to the first event.
+    /// A 1xx answer comes ahead, as soon as the request has come whole.
+    pub hint_ahead: bool,
+    /// How long the request waits for a slot, before its state is fetched.
+    pub wait: Duration,
+    /// From there to the first event.
     pub first: Duration,
     pub events: u32,
     pub gap: Duration,
-    /// A second answer comes right behind the first one, this much later.
-    pub second_after: Option<Duration>,
     /// After this many events comes one that never ends: so many bytes of it at a time, with this pause.
     pub endless: Option<(u32, usize, Duration)>,
 }
@@ -235,6 +237,36 @@
     }
 }
 
+/// What model hosts hold for a request.
+#[derive(Default)]
+struct Held {
+    /// The host that holds its state.
+    state: Option<String>,
+    /// Attempts that have come whole to a host and are neither answered nor closed.
+    out: u32,
+    /// When the state was made, or the last attempt ended.
+    since: Option<Instant>,
+    is_noted: bool,
+}
+
+/// An attempt at a host, out until it is dropped.
+struct Attempt<'a>(&'a Platform, &'a str);
+
+impl<'a> Attempt<'a> {
+    fn new(platform: &'a Platform, id: &'a str) -> Self {
+        platform.requests.lock().unwrap().entry(id.to_owned()).or_default().out += 1;
+        Attempt(platform, id)
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        let mut requests = self.0.requests.lock().unwrap();
+        let held = requests.entry(self.1.to_owned()).or_default();
+        (held.out, held.since) = (held.out - 1, Some(Instant::now()));
+    }
+}
+
 /// The list of hosts: each with the version in which its line changed last.
 struct List {
     seq: u64,
@@ -246,7 +278,10 @@
     pub record: Arc<Record>,
     list: Mutex<List>,
     changed: Condvar,
-    states: Mutex<HashMap<String, String>>,
+    /// What is held and out for each request, by its id.
+    requests: Mutex<HashMap<String, Held>>,
+    /// Hosts whose process has ended.
+    ended: Mutex<HashSet<String>>,
     pub agents: Vec<Agent>,
 }
 
@@ -279,7 +314,8 @@
             record: record.clone(),
             list: Mutex::new(List { seq: 41, lines: Vec::new() }),
             changed: Condvar::new(),
-            states: Mutex::default(),
+            requests: Mutex::default(),
+            ended: Mutex::default(),
             agents: listeners.iter().map(agent).collect(),
         });
         for (class, count) in [("prefill", readers + spare), ("decode", writers + spare)] {
@@ -301,6 +337,9 @@
                 platform.list.lock().unwrap().lines.push((41, line));
                 thread::spawn(move || {
                     for stream in host.incoming().flatten() {
+                        if platform.has_ended(&name) {
+                            return;
+                        }
                         let (name, platform, plays) = (name.clone(), platform.clone(), plays.clone());
                         thread::spawn(move || {
                             let _ = serve_host(&platform, &*plays, &name, reads, Wire::new(stream));
@@ -340,6 +379,55 @@
         seq
     }
 
+    /// Ends the process of a host: its connections break, and new ones are refused.
+    pub fn end_host(&self, name: &str) {
+        self.record.add(format!("host {name}: its process ends"));
+        self.ended.lock().unwrap().insert(name.to_owned());
+        let dial = self
+            .list
+            .lock()
+            .unwrap()
+            .lines
+            .iter()
+            .find(|(_, line)| line.name == name)
+            .map(|(_, line)| line.dial);
+        // Wakes the thread that accepts.
+        dial.map(TcpStream::connect);
+    }
+
+    fn has_ended(&self, name: &str) -> bool {
+        self.ended.lock().unwrap().contains(name)
+    }
+
+    fn hold(&self, id: &str, host: &str) {
+        let mut requests = self.requests.lock().unwrap();
+        let held = requests.entry(id.to_owned()).or_default();
+        (held.state, held.since) = (Some(host.to_owned()), Some(Instant::now()));
+    }
+
+    /// Takes the state of a request, or lets go of it; returns the host that held it.
+    fn take_state(&self, id: &str) -> Option<String> {
+        self.requests.lock().unwrap().get_mut(id)?.state.take()
+    }
+
+    /// Whether a host holds the state of a request.
+    pub fn holds(&self, id: &str) -> bool {
+        self.requests.lock().unwrap().get(id).is_some_and(|held| held.state.is_some())
+    }
+
+    /// States that have been held for longer than this while no attempt of their request was out, each once.
+    pub fn overdue_states(&self, limit: Duration) -> Vec<(String, String)> {
+        let mut overdue = Vec::new();
+        for (id, held) in self.requests.lock().unwrap().iter_mut() {
+            let is_late = held.out == 0 && held.since.is_some_and(|since| since.elapsed() > limit);
+            if let (Some(host), true, false) = (&held.state, is_late, held.is_noted) {
+                held.is_noted = true;
+                overdue.push((id.clone(), host.clone()));
+            }
+        }
+        overdue
+    }
+
     /// The whole list, or the lines that changed after a version, with the version of the list.
     fn list_json(&self, newer_than: Option<u64>) -> (u64, String) {
         let list = self.list.lock().unwrap();
@@ -414,85 +502,107 @@
 }
 
 fn serve_host(
-    platform: &Arc<Platform>,
+    platform: &Platform,
     plays: &dyn Plays,
     host: &str,
     reads: bool,
     mut wire: Wire,
 ) -> io::Result<()> {
-    let record = &platform.record;
-    // Two answers on one connection are never mixed.
-    let output = Arc::new(Mutex::new(wire.stream.try_clone()?));
-    let send = |text: &str| output.lock().unwrap().write_all(text.as_bytes());
+    // Looks for the end of the process now and then.
+    wire.stream.set_read_timeout(Some(ms(50)))?;
     loop {
-        wire.wait()?;
-        let first_byte = Instant::now();
-        let request = wire.message()?;
-        if request.first.starts_with("DELETE ") {
-            let id =
-                request.first.split(' ').nth(1).and_then(|path| path.rsplit('/').next()).unwrap_or_default();
-            let had = platform.states.lock().unwrap().remove(id);
-            record.add(format!("host {host}: let go of {id}, held at {}", had.unwrap_or("none".into())));
-            send("HTTP/1.1 204 No Content\r\n\r\n")?;
-            continue;
+        match wire.wait() {
+            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+            other => other?,
         }
-        let id = request.header("x-txn").to_owned();
-        let left = request.header("x-remaining-ms").to_owned();
-        plays.arrived(host, &id, first_byte);
-        record.add(format!("host {host}: request {id} came whole, told {left} ms left"));
-        if reads {
-            thread::sleep(plays.read_time(host, &id));
-            if wire.is_closed() {
-                record.add(format!("host {host}: read of {id} ended for nobody"));
-                return Ok(());
-            }
-            platform.states.lock().unwrap().insert(id.clone(), host.to_owned());
-            if let Err(error) = send(&plain("202 Accepted", "", "{\"cached_tokens\":0}")) {
-                platform.states.lock().unwrap().remove(&id);
-                return Err(error);
-            }
-            record.add(format!("host {host}: read {id}"));
-            continue;
+        if platform.has_ended(host) {
+            return Ok(());
         }
-        if platform.states.lock().unwrap().remove(&id).is_none() {
-            record.add(format!("host {host}: no state for {id}"));
-            send(&plain("410 Gone", "X-Turned-Away: 1\r\n", ""))?;
-            continue;
+        if !wire.buffer.is_empty() {
+            let first_byte = Instant::now();
+            wire.stream.set_read_timeout(None)?;
+            let request = wire.message()?;
+            answer_request(platform, plays, host, reads, &mut wire, &request, first_byte)?;
+            wire.stream.set_read_timeout(Some(ms(50)))?;
         }
-        let answer = plays.answer(host, &id);
-        thread::sleep(answer.first);
-        send(STREAM_HEAD)?;
-        record.add(format!("host {host}: stream for {id} begins"));
-        for number in 0..answer.events {
-            if let Some((after, bytes, pause)) = answer.endless
-                && number == after
-            {
-                record.add(format!("host {host}: an event for {id} begins that never ends"));
-                send(&chunk_of("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\""))?;
-                loop {
-                    thread::sleep(pause);
-                    if send(&chunk_of(&"x".repeat(bytes))).is_err() {
-                        record.add(format!("host {host}: stream for {id} was closed"));
-                        return Ok(());
-                    }
+    }
+}
+
+fn answer_request(
+    platform: &Platform,
+    plays: &dyn Plays,
+    host: &str,
+    reads: bool,
+    wire: &mut Wire,
+    request: &Message,
+    first_byte: Instant,
+) -> io::Result<()> {
+    let record = &platform.record;
+    let send = |wire: &mut Wire, text: &str| wire.stream.write_all(text.as_bytes());
+    if request.first.starts_with("DELETE ") {
+        let id = request.first.split(' ').nth(1).and_then(|path| path.rsplit('/').next()).unwrap_or_default();
+        let had = platform.take_state(id);
+        record.add(format!("host {host}: let go of {id}, held at {}", had.unwrap_or("none".into())));
+        return send(wire, "HTTP/1.1 204 No Content\r\n\r\n");
+    }
+    let (id, left) = (request.header("x-txn"), request.header("x-remaining-ms"));
+    plays.arrived(host, id, first_byte);
+    record.add(format!("host {host}: request {id} came whole, told {left} ms left"));
+    let _attempt = Attempt::new(platform, id);
+    if reads {
+        thread::sleep(plays.read_time(host, id));
+        if wire.is_closed() {
+            record.add(format!("host {host}: read of {id} ended for nobody"));
+            return Err(closed());
+        }
+        platform.hold(id, host);
+        record.add(format!("host {host}: read {id}"));
+        return send(wire, &plain("202 Accepted", "", "{\"cached_tokens\":0}"));
+    }
+    let answer = plays.answer(host, id);
+    if answer.hint_ahead {
+        record.add(format!("host {host}: 102 ahead of the answer to {id}"));
+        send(wire, "HTTP/1.1 102 Processing\r\n\r\n")?;
+    }
+    let slot_at = Instant::now() + answer.wait;
+    while Instant::now() < slot_at {
+        thread::sleep(ms(5));
+        if wire.is_closed() {
+            record.add(format!("host {host}: {id} was closed while it waited for a slot, and is dropped"));
+            return Err(closed());
+        }
+    }
+    if platform.take_state(id).is_none() {
+        record.add(format!("host {host}: no state for {id}"));
+        return send(wire, &plain("410 Gone", "X-Turned-Away: 1\r\n", ""));
+    }
+    thread::sleep(answer.first);
+    send(wire, STREAM_HEAD)?;
+    record.add(format!("host {host}: stream for {id} begins"));
+    for number in 0..answer.events {
+        if let Some((after, bytes, pause)) = answer.endless
+            && number == after
+        {
+            record.add(format!("host {host}: an event for {id} begins that never ends"));
+            send(wire, &chunk_of("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\""))?;
+            loop {
+                thread::sleep(pause);
+                if let Err(error) = send(wire, &chunk_of(&"x".repeat(bytes))) {
+                    record.add(format!("host {host}: stream for {id} was closed"));
+                    return Err(error);
                 }
             }
-            send(&chunk_of(&event(&id, number, host)))?;
-            thread::sleep(answer.gap);
         }
-        send(&stream_end())?;
-        record.add(format!("host {host}: stream for {id} is whole"));
-        if let Some(after) = answer.second_after {
-            let (output, record, host, id) = (output.clone(), record.clone(), host.to_owned(), id.clone());
-            thread::spawn(move || {
-                thread::sleep(after);
-                let again: String = (0..2).map(|number| chunk_of(&event(&id, number, &host))).collect();
-                let text = STREAM_HEAD.to_owned() + &again + &stream_end();
-                let sent = output.lock().unwrap().write_all(text.as_bytes()).is_ok();
-                record.add(format!("host {host}: second answer for {id}, written: {sent}"));
-            });
+        if platform.has_ended(host) {
+            record.add(format!("host {host}: stream for {id} breaks with the process"));
+            return Err(closed());
         }
+        send(wire, &chunk_of(&event(id, number, host)))?;
+        thread::sleep(answer.gap);
     }
+    send(wire, &stream_end())?;
+    record.add(format!("host {host}: stream for {id} is whole"));
+    Ok(())
 }
 
 /// How an answer ended, as its client saw it.
@@ -564,18 +674,21 @@
     pub deadline_ms: u64,
     /// `pushed` or `on_request`.
     pub registry: &'static str,
+    /// Grace of drains, and time for which a state may be held.
+    pub drain_ms: u64,
+    pub release_ms: u64,
     pub memory_mb: u32,
     pub sockets: u32,
 }
 
 /// The settings of a deployment with the figures of `bkk-chat-drafts`, as the operators' pages give them.
 fn settings(setup: &Setup, me: usize) -> String {
-    let Setup { dispatchers, effect, deadline_ms, registry, .. } = setup;
+    let Setup { dispatchers, effect, deadline_ms, registry, drain_ms, release_ms, .. } = setup;
     format!(
         r#"{{"Accounts":[{{"Name":"andaman-blue","QuotaPerS":20.0,"Share":1.0}}],"Balancers":{dispatchers},
 "Clients":{{"MarksRetry":true}},
 "Domain":{{"AimUsPer1000PromptTokens":[40000.0],"EarlyPairing":true,"KindMemoryTokens":[200000,140000],"MoveFee":0.04,
-"ReadInPlace":false,"ReleaseUs":1000000,"Resume":false,"RoleByKind":["read","write"],"TokenAimUs":[60000.0]}},
+"ReadInPlace":false,"ReleaseUs":{release_ms}000,"Resume":false,"RoleByKind":["read","write"],"TokenAimUs":[60000.0]}},
 "DomainType":"twostage","Kinds":["prefill","decode"],"Me":{me},"OverShareWorth":0.2,
 "Permissions":{{"Cancel":true,"ConnectTimeoutUs":250000,"CpuUsPerRequest":0.0,"CpuUsPerS":500000,"KeepaliveUs":15000000,
 "MaxAttempts":6,"MaxOpen":30000,"MaxRetryAfterUs":1000000,"MayProbe":false,"Peers":false,"RetryAfter":true,
@@ -585,7 +698,7 @@
 "Stream":true,"TargetUs":1500000,"WindowUs":5000000}}],
 "RegistryMode":"{registry}","Report":{{"Fields":[],"Source":"none"}},
 "Rules":{{"AnswerSlackUs":16000,"AskWithinUs":10000000,"ColdFrom":0.3,"FallUs":3000000,"OverloadFactor":2.5,
-"StopSendingWithinUs":250000,"WarmUpUs":14000000}},
+"StopSendingWithinUs":{drain_ms}000,"WarmUpUs":14000000}},
 "ScoreParts":{{"Whole":0.8,"WorstClass":0.0,"WorstTenant":0.1,"WorstWindow":0.1}},"Stage":0,"Stages":["draft-fleet"],
 "TickUs":4000,"WeightKind":"none","WorthBy":"work","Zone":"{}","Zones":["bangna","lat-krabang"]}}"#,
         deadline_ms,
