Tell interim responses from the head, and heads that never came from streams

Cause: head_within timed the head from the first byte of any response, and a head that never came whole was reported as Spoilt, which stands for a stream that has fetched its state.

Change: the time of the head runs from its own first byte; arriving bytes do not prolong a wait whose time is over; an answer without a whole head is an error that proves nothing about the state.

--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -48,6 +48,14 @@
         self.has_received_data
     }
 
+    /// Whether bytes have arrived that [`ResponseReader::head`] has not consumed and that do not begin an interim (1xx)
+    /// response.
+    pub fn has_final_head_begun(&self) -> bool {
+        let after_version = self.buffer.strip_prefix(b"HTTP/1.").and_then(|rest| rest.get(1..));
+        let begins_interim = after_version.is_some_and(|rest| rest.starts_with(b" 1"));
+        !self.buffer.is_empty() && !begins_interim
+    }
+
     /// The response's head, or `None` if more bytes are needed. Interim (1xx) responses are skipped.
     pub fn head(&mut self) -> Result<Option<ResponseHead>, MalformedResponse> {
         loop {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -593,9 +593,13 @@
         Reply { link, reader: ResponseReader::new(limits) }
     }
 
+    /// Reads more bytes. Once the deadline has passed, bytes that go on arriving do not prolong the wait.
     // Never inlined: keeps the buffer on the stack only during the read.
     #[inline(never)]
     fn read_more(&mut self, until: &dyn Fn() -> Instant) -> Result<(), Fault> {
+        if self.reader.has_received_data() && until() <= Instant::now() {
+            return Err(Fault::TimedOut);
+        }
         let mut buffer = [0; READ_BUFFER_BYTES];
         match self.link.read_with_moving_deadline(&mut buffer, || Some(until()))? {
             0 => Err(Fault::Broken),
@@ -606,27 +610,39 @@
         }
     }
 
-    /// Reads up to the end of the response head.
+    /// Reads up to the end of the response head. Interim (1xx) responses are skipped.
     pub fn head(&mut self, until: Instant) -> Result<ResponseHead, Fault> {
-        loop {
-            match self.reader.head() {
-                Ok(Some(head)) => return Ok(head),
-                Ok(None) => self.read_more(&|| until)?,
-                Err(_) => return Err(Fault::Malformed),
-            }
-        }
+        self.head_with_timeout(until, None)
     }
 
-    /// As [`Reply::head`]; a head that has begun to arrive and is not complete within `timeout` counts as malformed.
+    /// As [`Reply::head`]; a final head that has begun to arrive and is not complete within `timeout` counts as malformed.
+    /// Interim responses ahead of it do not begin it.
     pub fn head_within(&mut self, until: Instant, timeout: Duration) -> Result<ResponseHead, Fault> {
-        if !self.reader.has_received_data() {
-            self.read_more(&|| until)?;
+        self.head_with_timeout(until, Some(timeout))
+    }
+
+    fn head_with_timeout(
+        &mut self,
+        until: Instant,
+        timeout: Option<Duration>,
+    ) -> Result<ResponseHead, Fault> {
+        let mut complete_by: Option<Instant> = None;
+        loop {
+            if let Some(head) = self.reader.head().map_err(|_| Fault::Malformed)? {
+                return Ok(head);
+            }
+            complete_by = match timeout {
+                Some(timeout) if self.reader.has_final_head_begun() => {
+                    Some(complete_by.unwrap_or_else(|| Instant::now() + timeout))
+                }
+                _ => None,
+            };
+            let deadline = complete_by.map_or(until, |complete_by| complete_by.min(until));
+            self.read_more(&|| deadline).map_err(|fault| match fault {
+                Fault::TimedOut if deadline < until => Fault::Malformed,
+                other => other,
+            })?;
         }
-        let complete_by = Instant::now() + timeout;
-        self.head(until.min(complete_by)).map_err(|fault| match fault {
-            Fault::TimedOut if complete_by < until => Fault::Malformed,
-            other => other,
-        })
     }
 
     /// Appends the part of the body that has arrived, waiting for at least one byte. Returns true once the body has ended.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -91,11 +91,12 @@
     StreamBegun(Box<(Reply, EventSplitter, Vec<u8>, bool)>),
 }
 
-/// Outcome without an answer, or with one that cannot be read: the host may have started.
+/// Outcome without an answer, or with one that cannot be read: the host may have started. Without a whole head, nothing
+/// proves that the attempt has fetched a state.
 fn outcome_without_answer(fault: Fault) -> Outcome {
     match fault {
         Fault::TimedOut => Outcome::TimedOut,
-        Fault::Malformed => Outcome::Spoilt,
+        Fault::Malformed => Outcome::Error,
         Fault::Broken | Fault::NoConnection | Fault::LocalMachine => Outcome::Broken,
     }
 }
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -22,6 +22,12 @@
     Raw(&'static str),
     /// Sends these bytes, then a normal answer.
     Prefixed(&'static str),
+    /// Sends each of these pieces, then a normal answer, with this many milliseconds after each piece.
+    AfterPieces(&'static [&'static str], u64),
+    /// Sends these bytes again and again, every so many milliseconds, until the connection ends.
+    Endless(&'static str, u64),
+    /// Sends a stream's head and first event, then these bytes again and again, every so many milliseconds.
+    EndlessAfterFirstEvent(&'static str, u64),
     /// Sends a normal answer followed at once by these bytes.
     Suffixed(&'static str),
     /// Sends a stream's head and first event, then these bytes.
@@ -237,6 +243,18 @@
                     thread::sleep(Duration::from_millis(ms));
                     stream.write_all(answer.as_bytes())
                 }
+                Some(ScriptedReply::AfterPieces(pieces, ms)) => {
+                    for piece in pieces {
+                        let _ = stream.write_all(piece.as_bytes());
+                        thread::sleep(Duration::from_millis(ms));
+                    }
+                    stream.write_all(answer.as_bytes())
+                }
+                Some(ScriptedReply::Endless(bytes, ms)) => return send_endlessly(stream, bytes, ms),
+                Some(ScriptedReply::EndlessAfterFirstEvent(bytes, ms)) => {
+                    let _ = stream.write_all(begun.as_bytes());
+                    return send_endlessly(stream, bytes, ms);
+                }
                 Some(ScriptedReply::NoAnswer) => Ok(()),
                 Some(ScriptedReply::ManyEvents(events)) => stream.write_all(
                     format!("{begun}{}{STREAM_END}", event_chunk("more").repeat(events)).as_bytes(),
@@ -265,6 +283,14 @@
     }
 }
 
+/// Sends these bytes every so many milliseconds until the connection ends.
+fn send_endlessly(mut stream: TcpStream, bytes: &str, ms: u64) {
+    let _ = stream.set_nodelay(true);
+    while stream.write_all(bytes.as_bytes()).is_ok() {
+        thread::sleep(Duration::from_millis(ms));
+    }
+}
+
 /// How a registry fails a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RegistryFault {
@@ -275,6 +301,8 @@
     MalformedJson,
     /// Answers with the first version of the list.
     FirstList,
+    /// Sends an interim response, and 0.6 s later the answer.
+    InterimFirst,
 }
 
 /// A simulated registry. It serves one list of hosts, complete or as the changes since a version.
@@ -372,6 +400,11 @@
                         None => body,
                         Some(RegistryFault::NoAnswer) => continue,
                         Some(RegistryFault::Disconnect) => return,
+                        Some(RegistryFault::InterimFirst) => {
+                            let _ = stream.write_all(b"HTTP/1.1 102 Processing\r\n\r\n");
+                            thread::sleep(Duration::from_millis(600));
+                            body
+                        }
                         Some(RegistryFault::MalformedJson) => "{\"seq\":3,\"whole\":".to_owned(),
                         Some(RegistryFault::SlowBody) => " ".repeat(1000),
                         Some(RegistryFault::FirstList) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -140,9 +140,9 @@
     Full,
     /// The writer found no state to fetch.
     NoState,
-    /// The server answered with an error.
+    /// The server answered with an error, or with a head that cannot be read.
     Error,
-    /// The answer is malformed. The attempt has run, and the state that it fetched is gone.
+    /// The answer is malformed behind its head. The attempt has run, and the state that it fetched is gone.
     Spoilt,
     /// The connection was lost after the request had been sent.
     Broken,
