End streams whose bytes go on without a whole event

Cause: the relay counted silence from the last byte of the body.

Change: it counts from the last whole event that the client has taken (StreamProgress); a removed host gets its shorter time from its removal or its last event on. The messages front counts in the same way now.

--- a/crates/dispatcher/src/relay.rs
+++ b/crates/dispatcher/src/relay.rs
@@ -389,7 +389,10 @@
         }
         self.head_sent = true;
         let first_token_at = *self.first_token_at.get_or_insert_with(Instant::now);
+        // Bytes of an event that never ends are no progress, and a client that reads slowly is no silence of the host.
+        let mut last_progress = Instant::now();
         loop {
+            let has_pieces = !pieces.is_empty();
             for piece in pieces.drain(..) {
                 match self.process_piece(piece) {
                     Ok(false) => {}
@@ -406,6 +409,9 @@
             if self.flush().is_err() {
                 return Ended::ClientGone;
             }
+            if has_pieces {
+                last_progress = Instant::now();
+            }
             if begun.done || (ended && self.all_received()) {
                 return if self.all_received() {
                     if let Ok(mut silence) = self.shared.silence.lock() {
@@ -444,12 +450,10 @@
             bytes.clear();
             let read_began = Instant::now();
             // If the host leaves the list during the wait, `Endpoint::set_standing` shortens it.
-            let mut read_deadline = read_began
-                + if begun.endpoint.is_gone() {
-                    GONE_STALL_TIMEOUT.min(stall_timeout)
-                } else {
-                    stall_timeout
-                };
+            let mut read_deadline = last_progress + stall_timeout;
+            if begun.endpoint.is_gone() {
+                read_deadline = read_deadline.min(read_began + GONE_STALL_TIMEOUT);
+            }
             if !self.form.streamed {
                 read_deadline = read_deadline.min(self.deadline);
             }
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -27,8 +27,8 @@
     age: Option<Age>,
     /// Draining or removed: no new request is written to it.
     closed: AtomicBool,
-    /// Removed from the list.
-    removed: AtomicBool,
+    /// When it was removed from the list, unless it is on it.
+    removed_at: Mutex<Option<Instant>>,
     /// Attempts whose request has been written and that have not ended.
     pub in_flight: AtomicUsize,
     pub zone: u32,
@@ -52,8 +52,9 @@
         !self.closed.load(Ordering::Acquire)
     }
 
-    pub fn is_removed(&self) -> bool {
-        self.removed.load(Ordering::SeqCst)
+    /// When it was removed from the list; `None` while it is listed.
+    pub fn removed_at(&self) -> Option<Instant> {
+        *lock(&self.removed_at)
     }
 
     /// Registers the connection of an answer that streams from here.
@@ -63,14 +64,14 @@
 
     fn set_status(&self, status: HostStatus) {
         self.closed.store(status != HostStatus::Running, Ordering::Release);
-        // Before the time limits of its streams are shortened: whoever sets a limit checks this flag again
-        // afterwards.
-        self.removed.store(status == HostStatus::Gone, Ordering::SeqCst);
+        // Before the time limits of its streams are shortened: whoever sets a limit checks this again afterwards.
+        let removed_at = (status == HostStatus::Gone).then(Instant::now);
+        *lock(&self.removed_at) = removed_at;
         if status != HostStatus::Running {
             self.pool.clear();
         }
-        if status == HostStatus::Gone {
-            let deadline = Instant::now() + timeouts::silence_timeout(false, true);
+        if let Some(removed_at) = removed_at {
+            let deadline = removed_at + timeouts::removed_host_silence();
             lock(&self.streams).iter().for_each(|(_, link)| link.shorten_read_deadline(deadline));
         }
     }
@@ -195,7 +196,7 @@
                             .started_unix()
                             .map(|started| Age { at_listing: wall.age(started), listed_at: now }),
                         closed: AtomicBool::new(false),
-                        removed: AtomicBool::new(false),
+                        removed_at: Mutex::default(),
                         in_flight: AtomicUsize::new(0),
                         // Beyond the limit of zone names all further zones share one number.
                         zone: zones.intern(&line.site).unwrap_or(u32::MAX),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,7 +9,7 @@
 use tulipstall_core::ShotReport;
 use tulipstall_http1::body::{LAST_CHUNK, write_chunk};
 use tulipstall_net::Fault;
-use tulipstall_platform::timeouts;
+use tulipstall_platform::timeouts::StreamProgress;
 
 const STREAM_HEAD: &[u8] =
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -20,7 +20,7 @@
     let mut output = Vec::with_capacity(begun.bytes.len() + 256);
     output.extend_from_slice(STREAM_HEAD);
     let (mut bytes, mut received) = (std::mem::take(&mut begun.bytes), Vec::new());
-    let mut last_read = Instant::now();
+    let mut last_event = Instant::now();
     client.set_stream_host(Some(&begun.reply.link));
     let endpoint = begun.endpoint.clone();
     let _stream_entry = endpoint.register_stream(&begun.reply.link);
@@ -33,6 +33,9 @@
             // The host is not at fault.
             break (Outcome::Cancelled, "client left");
         }
+        if !output.is_empty() {
+            last_event = Instant::now();
+        }
         if begun.ended {
             let whole = begun.events.is_complete();
             break if whole { (Outcome::Delivered, "delivered") } else { (Outcome::Broken, "cut short") };
@@ -40,17 +43,15 @@
         output.clear();
         bytes.clear();
         received.clear();
-        let (end_marker_seen, endpoint) = (begun.events.end_marker_seen, &begun.endpoint);
-        match begun.reply.body_with_moving_deadline(&mut received, &|| {
-            last_read + timeouts::silence_timeout(end_marker_seen, endpoint.is_removed())
-        }) {
+        let progress = StreamProgress { last_event, end_marker_seen: begun.events.end_marker_seen };
+        let deadline = || progress.deadline(begun.endpoint.removed_at());
+        match begun.reply.body_with_moving_deadline(&mut received, &deadline) {
             Ok(ended) => begun.ended = ended,
             Err(_) if client.has_left() => break (Outcome::Cancelled, "client left"),
             Err(Fault::TimedOut) => break (Outcome::Broken, "silent"),
             Err(Fault::Malformed) => break (Outcome::Spoilt, "spoilt"),
             Err(_) => break (Outcome::Broken, "broken"),
         }
-        last_read = Instant::now();
         if begun.events.feed(&received, &mut bytes).is_err() {
             break (Outcome::Spoilt, "spoilt");
         }
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -28,6 +28,11 @@
     Endless(&'static str, u64),
     /// Sends a stream's head and first event, then these bytes again and again, every so many milliseconds.
     EndlessAfterFirstEvent(&'static str, u64),
+    /// Sends a stream's head and first event, then the first of these texts, then the second one again and again, every so
+    /// many milliseconds.
+    PiecesAfterFirstEvent(&'static str, &'static str, u64),
+    /// As `PiecesAfterFirstEvent`, without the first event.
+    AfterHead(&'static str, &'static str, u64),
     /// Sends a normal answer followed at once by these bytes.
     Suffixed(&'static str),
     /// Sends a stream's head and first event, then these bytes.
@@ -255,6 +260,14 @@
                     let _ = stream.write_all(begun.as_bytes());
                     return send_endlessly(stream, bytes, ms);
                 }
+                Some(ScriptedReply::PiecesAfterFirstEvent(text, bytes, ms)) => {
+                    let _ = stream.write_all(format!("{begun}{text}").as_bytes());
+                    return send_endlessly(stream, bytes, ms);
+                }
+                Some(ScriptedReply::AfterHead(text, bytes, ms)) => {
+                    let _ = stream.write_all(format!("{STREAM_HEAD}{text}").as_bytes());
+                    return send_endlessly(stream, bytes, ms);
+                }
                 Some(ScriptedReply::NoAnswer) => Ok(()),
                 Some(ScriptedReply::ManyEvents(events)) => stream.write_all(
                     format!("{begun}{}{STREAM_END}", event_chunk("more").repeat(events)).as_bytes(),
--- a/crates/platform/src/timeouts.rs
+++ b/crates/platform/src/timeouts.rs
@@ -1,7 +1,7 @@
 //! Time limits for an answer that has begun. The decisions limit the time to the first event of an attempt;
 //! these limits are for the bytes of one answer, which a host writes at once.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// From the first byte of an answer to the end of its head, and from there to its first event: bytes written
 /// at once arrive within a round trip, and a busy dispatcher may be paused for some 100 ms between the two.
@@ -18,12 +18,32 @@
 /// within a second.
 const STREAM_END_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long a stream may be silent before it is aborted.
-pub fn silence_timeout(end_marker_seen: bool, host_removed: bool) -> Duration {
-    match (end_marker_seen, host_removed) {
-        (true, _) => STREAM_END_TIMEOUT,
-        (false, true) => REMOVED_HOST_SILENCE_TIMEOUT,
-        (false, false) => SILENCE_TIMEOUT,
+/// How far a stream has come.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamProgress {
+    /// When its last whole event had been passed on. Bytes of an event that never ends are no progress, and a client that
+    /// reads slowly is no silence of the host.
+    pub last_event: Instant,
+    /// The last event was the end marker.
+    pub end_marker_seen: bool,
+}
+
+/// How long a host that was removed may be silent.
+pub const fn removed_host_silence() -> Duration {
+    REMOVED_HOST_SILENCE_TIMEOUT
+}
+
+impl StreamProgress {
+    /// When the stream is aborted unless a whole event, or its end, arrives. What a host wrote before it was removed has
+    /// time to arrive.
+    pub fn deadline(self, host_removed_at: Option<Instant>) -> Instant {
+        if self.end_marker_seen {
+            return self.last_event + STREAM_END_TIMEOUT;
+        }
+        let silence_ends = self.last_event + SILENCE_TIMEOUT;
+        let removal_ends =
+            host_removed_at.map(|removed_at| self.last_event.max(removed_at) + REMOVED_HOST_SILENCE_TIMEOUT);
+        removal_ends.map_or(silence_ends, |removal_ends| removal_ends.min(silence_ends))
     }
 }
 
--- a/crates/platform/src/timeouts/tests.rs
+++ b/crates/platform/src/timeouts/tests.rs
@@ -1,11 +1,20 @@
 use super::*;
 
-/// The platform's limits: 5 s of silence, and one second for the end of a stream.
+/// The platform's limits: 5 s of silence, and one second for the end of a stream. A host that is removed gets less time from its
+/// removal on, and never more in all.
 #[test]
 fn silence_is_limited_to_what_clients_are_promised() {
-    for host_removed in [false, true] {
-        assert!(silence_timeout(false, host_removed) < Duration::from_secs(5));
-        assert!(silence_timeout(true, host_removed) < Duration::from_secs(1));
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let after_event = |end_marker_seen| StreamProgress { last_event: start, end_marker_seen };
+    for removed_at in [None, Some(at(0)), Some(at(1500)), Some(at(4000))] {
+        assert!(after_event(false).deadline(removed_at) < at(5000), "{removed_at:?}");
+        assert!(after_event(true).deadline(removed_at) < at(1000), "{removed_at:?}");
     }
-    assert!(silence_timeout(false, true) < silence_timeout(false, false));
+    assert_eq!(after_event(false).deadline(Some(at(0))), at(2000));
+    assert_eq!(after_event(false).deadline(Some(at(1500))), at(3500));
+    assert!(after_event(false).deadline(Some(at(0))) < after_event(false).deadline(None));
+    // The removal was before the last event.
+    let later = StreamProgress { last_event: at(1000), end_marker_seen: false };
+    assert_eq!(later.deadline(Some(at(0))), at(3000));
 }
