Measure how long socket events wait for the worker

Change: a coroutine wakes every 100 ms and then waits for a poll of every worker (poll_round: an event descriptor for each worker, as only a poll can deliver its event). What it waits beyond its interval is logged once a second by the node, as a warning from 100 ms on, and is the gauge poll_lag_microseconds of the messages front.

Nothing is mended by this.

--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -175,6 +175,7 @@
             answers: Arc::new(TextBudget::new(settings.limits.answer_bytes, settings.limits.answers_bytes)),
             settings,
         });
+        tulipstall_net::poll_lag::start_measuring();
         owner::start(shared.clone(), receiver, record)?;
         hosts::start(shared.clone())?;
         if let Some(listener) = control_listener {
--- a/crates/dispatcher/src/metrics.rs
+++ b/crates/dispatcher/src/metrics.rs
@@ -41,6 +41,7 @@
     pub overdue: IntGauge,
     in_hand: IntGauge,
     connections: IntGauge,
+    poll_lag: IntGauge,
 }
 
 impl Metrics {
@@ -99,6 +100,10 @@
             overdue: gauge("shots_overdue", "Shots that did not tell their end by their time"),
             in_hand: gauge("tasks_in_hand", "Tasks that have no final answer yet"),
             connections: gauge("client_connections", "Open client connections"),
+            poll_lag: gauge(
+                "poll_lag_microseconds",
+                "Longest time that socket events waited for their worker since the last query",
+            ),
             first_token,
             registry,
         }
@@ -108,6 +113,7 @@
     pub fn text(&self, shared: &Shared) -> String {
         self.in_hand.set(shared.active_tasks.load(Ordering::Relaxed) as i64);
         self.connections.set(shared.connections.load(Ordering::Relaxed) as i64);
+        self.poll_lag.set(tulipstall_net::poll_lag::take_longest().as_micros() as i64);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod channel;
 pub mod errors;
+pub mod poll_lag;
+mod poll_round;
 mod sleep;
 mod watch;
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -7,7 +7,7 @@
 use crate::owner::OwnerMessage;
 use crate::receive::{ReceivedRequest, read_requests};
 use crate::task::Task;
-use crate::{Shared, lock, relay};
+use crate::{Shared, lock, metrics, relay};
 use std::collections::VecDeque;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
@@ -84,9 +84,10 @@
     }
 }
 
-/// Starts accepting clients, and the periodic closing of idle connections to hosts.
+/// Starts accepting clients, the periodic closing of idle connections to hosts, and the reports of figures.
 pub fn start(shared: Arc<Shared>, listener: Arc<Listener>) {
     let housekeeping_shared = shared.clone();
+    tulipstall_net::poll_lag::start_measuring();
     spawn(move || {
         let _accepting = AcceptingGuard(shared.clone());
         while !listener.is_closed() {
@@ -140,6 +141,7 @@
             housekeeping_shared.hosts.trim_idle();
             housekeeping_shared.releases.report();
             housekeeping_shared.request_memory.report();
+            metrics::report_poll_lag();
         }
     });
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,5 @@
-//! Counts of held states, written to the log while they change: the platform does not provide for a metrics
-//! listener.
+//! Figures that are written to the log, as the platform does not provide for a metrics listener: counts of held states while
+//! they change, and socket events that waited for the worker.
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -40,3 +40,17 @@
         tracing::info!(owed, unanswered, done, pending, late, abandoned, "releases of held states");
     }
 }
+
+/// Wait of socket events that is worth a warning: a third of the time within which an event has to be forwarded.
+const POLL_LAG_WARNING: Duration = Duration::from_millis(100);
+
+/// Writes to the log how long socket events waited for the worker since the last report, as a warning if that was long.
+pub fn report_poll_lag() {
+    let longest = tulipstall_net::poll_lag::take_longest();
+    let longest_ms = longest.as_millis() as u64;
+    if longest >= POLL_LAG_WARNING {
+        tracing::warn!(longest_ms, "socket events waited for the worker");
+    } else {
+        tracing::debug!(longest_ms, "wait of socket events");
+    }
+}
