Failing tests: peers that send at full speed hold up everybody else

Each flooding peer is a process of its own: clients that send empty lines, small, malformed or valid requests, chunks of one byte, bytes behind a rejection or only connect; hosts and a registry that send interim responses, comment lines or chunks of one byte without end. Beside them the events and ends of four streams are timed, and usual clients.

--- /dev/null
+++ b/crates/cli/tests/flooding_peers.rs
@@ -0,0 +1,275 @@
+//! Peers that send at full speed must not take the worker's time from others: events and ends of streams are forwarded in
+//! time, other clients are answered in time, and no limit is exceeded.
+
+#[path = "../../node/tests/platform/mod.rs"]
+mod platform;
+
+mod running;
+
+use platform::*;
+use running::flood::{Flood, FloodProcess, run_if_flooding_peer};
+use running::limited::{LimitedNode, is_served, last_request_of};
+use running::ms;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::PoisonError;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// The process of a flooding peer.
+#[test]
+fn flooding_peer() {
+    run_if_flooding_peer();
+}
+
+/// Flooding peers at once.
+const PEERS: usize = 3;
+/// For how long they flood: past the ends of the streams.
+const FLOOD_SECONDS: u64 = 6;
+const MEMORY_MB: u64 = 80;
+const SOCKETS: usize = 256;
+/// Streams that are watched, their events and the interval between these.
+const STREAMS: usize = 4;
+const EVENTS: usize = 90;
+const EVENT_INTERVAL_MS: u64 = 50;
+/// The platform's limits for forwarding an event and the end of a stream.
+const EVENT_LIMIT: Duration = ms(300);
+const END_LIMIT: Duration = ms(1000);
+/// Time for which a usual client waits for its answer.
+const USUAL_LIMIT: Duration = ms(2500);
+/// For how long usual clients ask.
+const USUAL_SECONDS: u64 = 4;
+const USUAL_INTERVAL: Duration = ms(100);
+const USUAL_BODY_BYTES: usize = 4000;
+/// Clients that leave, and the delay of writers beside them.
+const LEAVING_CLIENTS: usize = 2000;
+const WRITER_DELAY_MS: u64 = 100;
+
+/// How late the events and the end of a stream were.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lateness {
+    event: Duration,
+    end: Duration,
+    is_whole: bool,
+}
+
+/// Reads a stream of timed events to its end.
+fn read_timed_stream(mut stream: TcpStream) -> Lateness {
+    let (mut text, mut buffer, mut checked) = (Vec::new(), [0; 4096], 0);
+    let (mut lateness, mut last_event_micros) = (Lateness::default(), 0);
+    while let Ok(got) = stream.read(&mut buffer)
+        && got > 0
+    {
+        let now = micros();
+        text.extend_from_slice(&buffer[..got]);
+        while let Some(at) = text[checked..].windows(4).position(|window| window == b"\"at ") {
+            let digits = &text[checked + at + 4..];
+            let Some(end) = digits.iter().position(|byte| *byte == b' ') else { break };
+            let written: u64 = String::from_utf8_lossy(&digits[..end]).parse().expect("a time");
+            lateness.event = lateness.event.max(Duration::from_micros(now.saturating_sub(written)));
+            last_event_micros = written;
+            checked += at + 4 + end;
+        }
+        if text.ends_with(b"0\r\n\r\n") {
+            let end_written = last_event_micros + EVENT_INTERVAL_MS * 1000;
+            lateness.end = Duration::from_micros(now.saturating_sub(end_written));
+            lateness.is_whole = true;
+        }
+    }
+    lateness
+}
+
+/// Starts streams that are watched beside a flood; returns once their first events have arrived.
+fn start_streams(node: &LimitedNode) -> Vec<JoinHandle<Lateness>> {
+    let reply = ScriptedReply::TimedEvents(EVENTS, EVENT_INTERVAL_MS, EventFraming::OnePerChunk);
+    node.writes.lock().expect("no panic").extend([reply; STREAMS]);
+    let start = |number| {
+        let mut stream = connect(node.address);
+        let text = request_text(&format!("watched{number}"), "Connection: close\r\n");
+        stream.write_all(text.as_bytes()).expect("a request");
+        while stream.peek(&mut [0; 1]).expect("the first event") == 0 {}
+        thread::spawn(move || read_timed_stream(stream))
+    };
+    (0..STREAMS).map(start).collect()
+}
+
+/// What usual clients need beside a flood.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Need {
+    /// The answer of a host.
+    Served,
+    /// A final answer: some hosts flood and serve nobody.
+    Answered,
+}
+
+/// Whether a usual request got what it needs, and how long it took.
+fn ask(address: SocketAddr, number: usize, need: Need) -> (bool, Duration) {
+    let (id, started) = (format!("usual{number:05}"), Instant::now());
+    let answer = exchange(address, &last_request_of(&id, USUAL_BODY_BYTES));
+    let is_good = match need {
+        Need::Served => is_served(&answer, &id),
+        Need::Answered => !answer.is_empty(),
+    };
+    if !is_good {
+        eprintln!("{id}: {}", answer.lines().last().unwrap_or("no answer"));
+    }
+    (is_good, started.elapsed())
+}
+
+/// The longest wait of socket events that the node's log tells, in milliseconds.
+fn longest_poll_lag_ms(node: &LimitedNode) -> u64 {
+    let log = node.process.log();
+    let waits = log.lines().filter_map(|line| line.split_once("longest_ms=")?.1.trim().parse().ok());
+    waits.max().unwrap_or_default()
+}
+
+/// Checks the streams and usual clients beside peers that flood.
+fn check_beside(name: &str, node: &LimitedNode, need: Need, start_flood: impl FnOnce() -> Vec<FloodProcess>) {
+    let streams = start_streams(node);
+    let peers = start_flood();
+    let (started, mut usual, mut highest_kib) = (Instant::now(), Vec::new(), 0);
+    while started.elapsed() < Duration::from_secs(USUAL_SECONDS) {
+        let (address, number) = (node.address, usual.len());
+        usual.push(thread::spawn(move || ask(address, number, need)));
+        highest_kib = highest_kib.max(node.process.anonymous_memory_kib());
+        thread::sleep(USUAL_INTERVAL);
+    }
+    let streams: Vec<Lateness> = streams.into_iter().map(|stream| stream.join().expect("no panic")).collect();
+    let usual: Vec<_> = usual.into_iter().map(|client| client.join().expect("no panic")).collect();
+    drop(peers);
+    let event = streams.iter().map(|stream| stream.event).max().unwrap_or_default();
+    let end = streams.iter().map(|stream| stream.end).max().unwrap_or_default();
+    let whole = streams.iter().filter(|stream| stream.is_whole).count();
+    let good = usual.iter().filter(|(is_good, _)| *is_good).count();
+    let slowest = usual.iter().map(|(_, took)| *took).max().unwrap_or_default();
+    let figures = format!(
+        "{name}: event {event:?}, end {end:?}, whole {whole} of {STREAMS}, usual {good} of {}, slowest {slowest:?}, \
+         highest {highest_kib} KiB, longest wait of socket events {} ms",
+        usual.len(),
+        longest_poll_lag_ms(node)
+    );
+    eprintln!("{figures}");
+    assert!(event < EVENT_LIMIT && end < END_LIMIT && whole == STREAMS, "streams were late: {figures}");
+    assert!(good == usual.len() && slowest < USUAL_LIMIT, "usual clients were not {need:?}: {figures}");
+    assert!((1..=MEMORY_MB * 1024).contains(&highest_kib), "over the memory limit: {figures}");
+}
+
+/// Checks the node beside clients that flood.
+fn check_clients(flood: Flood) {
+    let _exclusive = EXCLUSIVE.lock().unwrap_or_else(PoisonError::into_inner);
+    let node = LimitedNode::start(&format!("flood-{flood:?}"), MEMORY_MB, SOCKETS);
+    check_beside(&format!("{flood:?}"), &node, Need::Served, || {
+        (0..PEERS).map(|_| FloodProcess::client(flood, FLOOD_SECONDS, node.address)).collect()
+    });
+}
+
+/// Checks the node beside hosts of this class that flood whoever sends them a request.
+fn check_hosts(flood: Flood, class: &str, start_others: impl FnOnce(&LimitedNode)) {
+    let _exclusive = EXCLUSIVE.lock().unwrap_or_else(PoisonError::into_inner);
+    let name = format!("flood-{flood:?}-{class}");
+    let node = LimitedNode::start(&name, MEMORY_MB, SOCKETS);
+    check_beside(&name, &node, Need::Answered, || {
+        let start = |number| {
+            let peer = FloodProcess::server(flood, FLOOD_SECONDS);
+            let name = format!("{}-flooding{number}", &class[..1]);
+            node.registry.publish(line_in_cell(&name, peer.server_address(), ("a", 0), class, "active"));
+            peer
+        };
+        let peers = (0..PEERS).map(start).collect();
+        start_others(&node);
+        peers
+    });
+}
+
+/// Starts clients that leave while their writer is silent, so that their states have to be released.
+fn start_leaving_clients(node: &LimitedNode) {
+    node.writes.lock().expect("no panic").extend([ScriptedReply::DelayMs(WRITER_DELAY_MS); LEAVING_CLIENTS]);
+    let address = node.address;
+    thread::spawn(move || {
+        for number in 0..LEAVING_CLIENTS {
+            let Ok(mut stream) = TcpStream::connect(address) else { return };
+            let _ = stream.write_all(request_text(&format!("leaving{number}"), "").as_bytes());
+            thread::sleep(ms(2));
+        }
+    });
+}
+
+/// Checks the node beside a registry that floods.
+fn check_registry(flood: Flood) {
+    let _exclusive = EXCLUSIVE.lock().unwrap_or_else(PoisonError::into_inner);
+    let node = LimitedNode::start(&format!("flood-{flood:?}"), MEMORY_MB, SOCKETS);
+    check_beside(&format!("{flood:?}"), &node, Need::Served, || {
+        let hosts = node.registry.state.0.lock().expect("no panic").join(",");
+        let peer = FloodProcess::registry(flood, FLOOD_SECONDS, &hosts);
+        let old = node.registry.address.to_string();
+        node.process.write(&node.process.config_text.replace(&old, &peer.server_address().to_string()));
+        node.process.signal("-HUP");
+        vec![peer]
+    });
+}
+
+#[test]
+fn empty_lines_at_full_speed_delay_nobody() {
+    check_clients(Flood::EmptyLines);
+}
+
+#[test]
+fn small_requests_at_full_speed_delay_nobody() {
+    check_clients(Flood::HealthChecks);
+    check_clients(Flood::UnknownPaths);
+}
+
+#[test]
+fn malformed_requests_at_full_speed_delay_nobody() {
+    check_clients(Flood::Malformed);
+}
+
+#[test]
+fn requests_under_new_names_at_full_speed_delay_nobody() {
+    check_clients(Flood::NewNames);
+    check_clients(Flood::PipelinedNewNames);
+}
+
+#[test]
+fn chunks_of_one_byte_at_full_speed_delay_nobody() {
+    check_clients(Flood::OneByteChunks);
+    check_clients(Flood::OneByteWrites);
+}
+
+#[test]
+fn bytes_behind_a_rejected_request_delay_nobody() {
+    check_clients(Flood::AfterRejection);
+}
+
+#[test]
+fn new_connections_at_full_speed_delay_nobody() {
+    check_clients(Flood::Connections);
+}
+
+#[test]
+fn interim_responses_without_end_delay_nobody() {
+    check_hosts(Flood::InterimResponses, "reads", |_| {});
+    check_hosts(Flood::InterimResponses, "writes", |_| {});
+}
+
+#[test]
+fn interim_responses_to_releases_delay_nobody() {
+    check_hosts(Flood::InterimResponsesToReleases, "reads", start_leaving_clients);
+}
+
+#[test]
+fn events_without_end_in_chunks_of_one_byte_delay_nobody() {
+    check_hosts(Flood::EndlessChunks, "writes", |_| {});
+}
+
+#[test]
+fn comment_lines_without_end_delay_nobody() {
+    check_hosts(Flood::CommentLines, "writes", |_| {});
+}
+
+#[test]
+fn a_registry_that_answers_at_full_speed_delays_nobody() {
+    check_registry(Flood::NewVersions);
+    check_registry(Flood::ListInOneByteChunks);
+    check_registry(Flood::InterimResponses);
+}
--- a/crates/cli/tests/running/limited.rs
+++ b/crates/cli/tests/running/limited.rs
@@ -54,7 +54,7 @@
     pub reads: Script,
     /// Replies of the writers.
     pub writes: Script,
-    _registry: Registry,
+    pub registry: Registry,
 }
 
 /// Whether an answer is a complete stream for the request with this id, of any length.
@@ -99,7 +99,7 @@
         };
         let process = NodeProcess::start_with(name, &registry, sockets, limited).wait_ready();
         let address = process.address;
-        LimitedNode { process, address, memory_mb, reads, writes, _registry: registry }
+        LimitedNode { process, address, memory_mb, reads, writes, registry }
     }
 
     /// The memory of the process in KiB, which must not exceed the limit.
