Bound what a socket's coroutine does before others run and events are polled

Cause: a socket that always has input never makes Link::read wait, and only a wait gives the worker back. The worker polls for socket events only when no coroutine is ready.

Evidence: a debugger found the worker in read_requests of one and the same client in three of three samples, and socket events waited for 1,430 ms.

Change: links count their reads and writes, listeners what they accept. After 16 the coroutine waits for a poll of every worker, which an event descriptor for each of them proves. All input passes these three places. A read whose deadline has passed by then times out.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod poll_lag;
 mod poll_round;
 mod sleep;
+mod turn;
 mod watch;
 
 pub use may::coroutine::JoinHandle;
@@ -25,6 +26,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use tulipstall_http1::{Limits, ResponseHead, ResponseReader};
+use turn::Turn;
 
 /// Size of read buffers in bytes: a burst of stream events fits.
 pub const READ_BUFFER_BYTES: usize = 4096;
@@ -155,12 +157,14 @@
     /// `accept` returns the connections that are pending, then the listener closes.
     draining: AtomicBool,
     closed: AtomicBool,
+    turn: Turn,
 }
 
 impl Listener {
     pub fn bind(address: SocketAddr) -> io::Result<Listener> {
         let io = PolledSocket::new(TcpListener::bind(address)?)?;
-        Ok(Listener { io, draining: AtomicBool::new(false), closed: AtomicBool::new(false) })
+        let (draining, closed) = (AtomicBool::new(false), AtomicBool::new(false));
+        Ok(Listener { io, draining, closed, turn: Turn::default() })
     }
 
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
@@ -169,14 +173,21 @@
 
     /// Accepts the next connection. An error is final if [`Listener::is_closed`] holds.
     pub fn accept(&self) -> io::Result<(Link, SocketAddr)> {
+        self.turn.end_if_used_up();
         loop {
             if self.is_closed() {
                 return Err(io::ErrorKind::NotConnected.into());
             }
             let draining = self.draining.load(Ordering::Acquire);
             match self.io.inner().accept() {
-                Ok((stream, from)) => return Ok((Link::new(stream)?, from)),
-                Err(error) if errors::is_accepted_connection_error(&error) => {}
+                Ok((stream, from)) => {
+                    self.turn.count_operation();
+                    return Ok((Link::new(stream)?, from));
+                }
+                Err(error) if errors::is_accepted_connection_error(&error) => {
+                    self.turn.count_operation();
+                    self.turn.end_if_used_up();
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock && draining => self.close(),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.io.wait(),
                 Err(error) => return Err(error),
@@ -233,6 +244,8 @@
     write_deadline: AtomicU64,
     /// A deadline has passed, and the link is shut or about to be.
     timed_out: AtomicBool,
+    read_turn: Turn,
+    write_turn: Turn,
 }
 
 const NO_DEADLINE: u64 = u64::MAX;
@@ -310,7 +323,16 @@
         let (stream, write_socket) = (PolledSocket::new(stream)?, OnceLock::new());
         let (shut, timed_out) = (AtomicBool::new(false), AtomicBool::new(false));
         Ok(Link {
-            inner: Arc::new(Inner { stream, shut, write_socket, read_deadline, write_deadline, timed_out }),
+            inner: Arc::new(Inner {
+                stream,
+                shut,
+                write_socket,
+                read_deadline,
+                write_deadline,
+                timed_out,
+                read_turn: Turn::default(),
+                write_turn: Turn::default(),
+            }),
         })
     }
 
@@ -409,13 +431,20 @@
         into: &mut [u8],
         deadline: impl Fn() -> Option<Instant>,
     ) -> Result<usize, Fault> {
-        let stream = &self.inner.stream;
+        let (stream, turn) = (&self.inner.stream, &self.inner.read_turn);
+        if turn.end_if_used_up() && deadline().is_some_and(|until| until <= Instant::now()) {
+            // Bytes that go on arriving do not prolong the wait.
+            return Err(Fault::TimedOut);
+        }
         loop {
             if !self.inner.is_usable() {
                 return Err(self.fault());
             }
             match stream.inner().read(into) {
-                Ok(got) if got == 0 || self.inner.is_usable() => return Ok(got),
+                Ok(got) if got == 0 || self.inner.is_usable() => {
+                    turn.count_operation();
+                    return Ok(got);
+                }
                 Ok(_) => return Err(self.fault()),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Waiting for an event needs no exclusive access to the socket, so that others can shut it.
@@ -438,7 +467,15 @@
     }
 
     /// Writes all bytes. Returns `NoConnection` if provably no byte was sent.
-    pub fn write(&self, mut bytes: &[u8], until: Instant) -> Result<(), Fault> {
+    pub fn write(&self, bytes: &[u8], until: Instant) -> Result<(), Fault> {
+        let written = self.write_all(bytes, until);
+        // Not before the write: what its caller has checked must still hold then.
+        self.inner.write_turn.count_operation();
+        self.inner.write_turn.end_if_used_up();
+        written
+    }
+
+    fn write_all(&self, mut bytes: &[u8], until: Instant) -> Result<(), Fault> {
         let mut sent_any = false;
         while !bytes.is_empty() {
             let written = match self.inner.stream.inner().write(bytes) {
