Count turns by bytes, so that crowds of full-speed peers hold up others less

Cause: a turn of 16 reads could parse 64 KiB, so that 180 clients with bodies in chunks of one byte held up socket events by 143 ms.

Flooding peers of the tests can have many connections each.

--- a/crates/cli/tests/flooding_peers.rs
+++ b/crates/cli/tests/flooding_peers.rs
@@ -27,7 +27,7 @@
 /// For how long they flood: past the ends of the streams.
 const FLOOD_SECONDS: u64 = 6;
 const MEMORY_MB: u64 = 80;
-const SOCKETS: usize = 256;
+const SOCKETS: usize = 768;
 /// Streams that are watched, their events and the interval between these.
 const STREAMS: usize = 4;
 const EVENTS: usize = 90;
@@ -154,12 +154,17 @@
     assert!((1..=MEMORY_MB * 1024).contains(&highest_kib), "over the memory limit: {figures}");
 }
 
-/// Checks the node beside clients that flood.
+/// Checks the node beside clients that flood over a connection each.
 fn check_clients(flood: Flood) {
+    check_clients_with(flood, 1);
+}
+
+/// Checks the node beside clients that flood over this many connections each.
+fn check_clients_with(flood: Flood, connections: usize) {
     let _exclusive = EXCLUSIVE.lock().unwrap_or_else(PoisonError::into_inner);
     let node = LimitedNode::start(&format!("flood-{flood:?}"), MEMORY_MB, SOCKETS);
-    check_beside(&format!("{flood:?}"), &node, Need::Served, || {
-        (0..PEERS).map(|_| FloodProcess::client(flood, FLOOD_SECONDS, node.address)).collect()
+    check_beside(&format!("{flood:?} {connections}"), &node, Need::Served, || {
+        (0..PEERS).map(|_| FloodProcess::client(flood, FLOOD_SECONDS, node.address, connections)).collect()
     });
 }
 
@@ -273,3 +278,22 @@
     check_registry(Flood::ListInOneByteChunks);
     check_registry(Flood::InterimResponses);
 }
+
+/// Connections of a peer in a crowd.
+const CROWD_CONNECTIONS: usize = 60;
+
+#[test]
+fn crowds_at_full_speed_delay_nobody() {
+    for flood in [
+        Flood::EmptyLines,
+        Flood::HealthChecks,
+        Flood::Malformed,
+        Flood::NewNames,
+        Flood::OneByteChunks,
+        Flood::AfterRejection,
+        Flood::OneByteWrites,
+        Flood::Connections,
+    ] {
+        check_clients_with(flood, CROWD_CONNECTIONS);
+    }
+}
--- a/crates/cli/tests/running/flood.rs
+++ b/crates/cli/tests/running/flood.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Environment variable that tells a process of the test program to be a flooding peer: `<flood> <seconds> [<address>]`.
+/// Environment variable that tells a process of the test program to be a flooding peer: `<flood> <seconds> [<address> <connections>]`.
 const FLOOD_VARIABLE: &str = "TULIPSTALL_TEST_FLOOD";
 /// Environment variable with the hosts that a flooding registry lists.
 const HOSTS_VARIABLE: &str = "TULIPSTALL_TEST_HOSTS";
@@ -126,10 +126,10 @@
         command.stdout(Stdio::piped()).spawn().expect("a process")
     }
 
-    /// Starts a client that floods `address` for some seconds.
-    pub fn client(flood: Flood, seconds: u64, address: SocketAddr) -> FloodProcess {
+    /// Starts a client that floods `address` over some connections for some seconds.
+    pub fn client(flood: Flood, seconds: u64, address: SocketAddr, connections: usize) -> FloodProcess {
         assert!(!flood.is_server(), "{flood:?} is a server");
-        let child = Self::spawn(format!("{flood:?} {seconds} {address}"), "");
+        let child = Self::spawn(format!("{flood:?} {seconds} {address} {connections}"), "");
         FloodProcess { child, address: None, _output: None }
     }
 
@@ -169,7 +169,13 @@
     if flood.is_server() {
         serve_flood(flood, until);
     } else {
-        flood_as_client(flood, until, argument().parse().expect("an address"));
+        let address: SocketAddr = argument().parse().expect("an address");
+        let connections: usize = argument().parse().expect("a number");
+        thread::scope(|scope| {
+            for connection in 0..connections {
+                scope.spawn(move || flood_as_client(flood, until, address, connection));
+            }
+        });
     }
 }
 
@@ -183,8 +189,8 @@
 }
 
 /// A request with names that have not been used before.
-fn request_with_new_names(number: usize) -> String {
-    let process = std::process::id();
+fn request_with_new_names(connection: usize, number: usize) -> String {
+    let process = format!("{}c{connection}", std::process::id());
     let body = r#"{"model":"chat","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
     format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Txn: f{process}x{number}\r\nX-Lane: chat\r\n\
@@ -215,7 +221,7 @@
     }
 }
 
-fn flood_as_client(flood: Flood, until: Instant, address: SocketAddr) {
+fn flood_as_client(flood: Flood, until: Instant, address: SocketAddr, connection: usize) {
     let mut number = 0;
     while Instant::now() < until {
         let Ok(mut stream) = TcpStream::connect(address) else { continue };
@@ -234,11 +240,11 @@
         match flood {
             Flood::UnknownPaths => ask(&|number| format!("GET /{number} HTTP/1.1\r\nHost: x\r\n\r\n")),
             Flood::HealthChecks => ask(&|_| "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n".to_owned()),
-            Flood::NewNames => ask(&request_with_new_names),
+            Flood::NewNames => ask(&|number| request_with_new_names(connection, number)),
             Flood::PipelinedNewNames => {
                 while Instant::now() < until {
                     number += 1;
-                    if stream.write_all(request_with_new_names(number).as_bytes()).is_err() {
+                    if stream.write_all(request_with_new_names(connection, number).as_bytes()).is_err() {
                         break;
                     }
                 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -181,11 +181,11 @@
             let draining = self.draining.load(Ordering::Acquire);
             match self.io.inner().accept() {
                 Ok((stream, from)) => {
-                    self.turn.count_operation();
+                    self.turn.count_accept();
                     return Ok((Link::new(stream)?, from));
                 }
                 Err(error) if errors::is_accepted_connection_error(&error) => {
-                    self.turn.count_operation();
+                    self.turn.count_accept();
                     self.turn.end_if_used_up();
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock && draining => self.close(),
@@ -442,7 +442,7 @@
             }
             match stream.inner().read(into) {
                 Ok(got) if got == 0 || self.inner.is_usable() => {
-                    turn.count_operation();
+                    turn.count_bytes(got);
                     return Ok(got);
                 }
                 Ok(_) => return Err(self.fault()),
@@ -470,7 +470,7 @@
     pub fn write(&self, bytes: &[u8], until: Instant) -> Result<(), Fault> {
         let written = self.write_all(bytes, until);
         // Not before the write: what its caller has checked must still hold then.
-        self.inner.write_turn.count_operation();
+        self.inner.write_turn.count_bytes(bytes.len());
         self.inner.write_turn.end_if_used_up();
         written
     }
