Reject clients that send more empty lines than a head may have bytes

Seen: a client that sends empty lines behind an answer is read for as long as it goes on, without an error or a close; bad clients are owed one within 3 s.

Cause: empty lines ahead of a request are skipped (RFC 9112 section 2.2), begin no request, and so count against no limit; the idle time begins anew with each read.

Change: the reader counts the bytes that it skips, and rejects them with 400 beyond the limit of a head.

--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -113,6 +113,8 @@
     buffer: Vec<u8>,
     /// How many bytes of the buffer have been searched for the end of the head.
     searched: usize,
+    /// Bytes of empty lines that were skipped before the next request.
+    skipped: usize,
     /// A request whose body is not complete yet, with the data so far.
     pending: Option<(Box<RequestHead>, BodyDecoder, Vec<u8>)>,
     error: Option<RequestError>,
@@ -120,7 +122,7 @@
 
 impl RequestReader {
     pub fn new(limits: Limits) -> Self {
-        RequestReader { limits, buffer: Vec::new(), searched: 0, pending: None, error: None }
+        RequestReader { limits, buffer: Vec::new(), searched: 0, skipped: 0, pending: None, error: None }
     }
 
     /// Adds received bytes. They are ignored after an error.
@@ -163,7 +165,7 @@
             };
             let (head, body) = parse(&self.buffer[..end], &self.limits)?;
             self.buffer.drain(..end);
-            self.searched = 0;
+            (self.searched, self.skipped) = (0, 0);
             let expects_continue =
                 head.header("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
             let awaits_continue = expects_continue && !body.is_done() && self.buffer.is_empty();
@@ -193,12 +195,16 @@
     }
 
     /// The length of the head, or `None` while it is incomplete. Lines must end with CR LF; empty lines before a
-    /// request are skipped (RFC 9112 section 2.2).
+    /// request are skipped (RFC 9112 section 2.2), as many as a head may have bytes.
     fn head_end(&mut self) -> Result<Option<usize>, RequestError> {
         let skip = self.buffer.chunks(2).take_while(|pair| *pair == b"\r\n").count() * 2;
         if skip > 0 {
             self.buffer.drain(..skip);
             self.searched = 0;
+            self.skipped += skip;
+            if self.skipped > self.limits.max_head_bytes {
+                return Err(RequestError::Malformed("too many empty lines"));
+            }
         }
         let from = self.searched.saturating_sub(3);
         let found = self.buffer[from..].windows(4).position(|window| window == b"\r\n\r\n");
--- a/crates/http1/tests/requests.rs
+++ b/crates/http1/tests/requests.rs
@@ -31,6 +31,8 @@
 #[test]
 fn requests_are_read_or_refused() {
     let long_line = format!("GET /{} HTTP/1.1\r\nhost: a\r\n\r\n", "x".repeat(300));
+    let empty_lines = |count: usize| "\r\n".repeat(count) + "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    let (as_many_as_a_head, one_more) = (empty_lines(256), empty_lines(257));
     let many = format!("GET / HTTP/1.1\r\nhost: a\r\n{}\r\n", "a: b\r\n".repeat(9));
     let cases: Vec<(&str, &str, Vec<&str>)> = vec![
         ("plain", "GET /a?b HTTP/1.1\r\nhost: x\r\n\r\n", vec!["GET /a []"]),
@@ -46,6 +48,8 @@
             vec!["POST / [abc]"],
         ),
         ("empty lines first", "\r\n\r\nGET / HTTP/1.1\r\nhost: x\r\n\r\n", vec!["GET / []"]),
+        ("as many empty lines as a head may have bytes", &as_many_as_a_head, vec!["GET / []"]),
+        ("one empty line more", &one_more, vec!["400"]),
         (
             "both lengths",
             "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
