--- a/crates/cli/tests/flooding_peers.rs
+++ b/crates/cli/tests/flooding_peers.rs
@@ -8,9 +8,10 @@
 
 use platform::*;
 use running::flood::{Flood, FloodProcess, run_if_flooding_peer};
+use running::late::{EVENT_INTERVAL_MS, Lateness, latest, read_timed_stream};
 use running::limited::{LimitedNode, is_served, last_request_of};
 use running::ms;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::PoisonError;
 use std::thread::{self, JoinHandle};
@@ -28,13 +29,9 @@
 const FLOOD_SECONDS: u64 = 6;
 const MEMORY_MB: u64 = 80;
 const SOCKETS: usize = 768;
-/// Streams that are watched, their events and the interval between these.
+/// Streams that are watched, and their events.
 const STREAMS: usize = 4;
 const EVENTS: usize = 90;
-const EVENT_INTERVAL_MS: u64 = 50;
-/// The platform's limits for forwarding an event and the end of a stream.
-const EVENT_LIMIT: Duration = ms(300);
-const END_LIMIT: Duration = ms(1000);
 /// Time for which a usual client waits for its answer.
 const USUAL_LIMIT: Duration = ms(2500);
 /// For how long usual clients ask.
@@ -45,40 +42,6 @@
 const LEAVING_CLIENTS: usize = 2000;
 const WRITER_DELAY_MS: u64 = 100;
 
-/// How late the events and the end of a stream were.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lateness {
-    event: Duration,
-    end: Duration,
-    is_whole: bool,
-}
-
-/// Reads a stream of timed events to its end.
-fn read_timed_stream(mut stream: TcpStream) -> Lateness {
-    let (mut text, mut buffer, mut checked) = (Vec::new(), [0; 4096], 0);
-    let (mut lateness, mut last_event_micros) = (Lateness::default(), 0);
-    while let Ok(got) = stream.read(&mut buffer)
-        && got > 0
-    {
-        let now = micros();
-        text.extend_from_slice(&buffer[..got]);
-        while let Some(at) = text[checked..].windows(4).position(|window| window == b"\"at ") {
-            let digits = &text[checked + at + 4..];
-            let Some(end) = digits.iter().position(|byte| *byte == b' ') else { break };
-            let written: u64 = String::from_utf8_lossy(&digits[..end]).parse().expect("a time");
-            lateness.event = lateness.event.max(Duration::from_micros(now.saturating_sub(written)));
-            last_event_micros = written;
-            checked += at + 4 + end;
-        }
-        if text.ends_with(b"0\r\n\r\n") {
-            let end_written = last_event_micros + EVENT_INTERVAL_MS * 1000;
-            lateness.end = Duration::from_micros(now.saturating_sub(end_written));
-            lateness.is_whole = true;
-        }
-    }
-    lateness
-}
-
 /// Starts streams that are watched beside a flood; returns once their first events have arrived.
 fn start_streams(node: &LimitedNode) -> Vec<JoinHandle<Lateness>> {
     let reply = ScriptedReply::TimedEvents(EVENTS, EVENT_INTERVAL_MS, EventFraming::OnePerChunk);
@@ -137,19 +100,17 @@
     let streams: Vec<Lateness> = streams.into_iter().map(|stream| stream.join().expect("no panic")).collect();
     let usual: Vec<_> = usual.into_iter().map(|client| client.join().expect("no panic")).collect();
     drop(peers);
-    let event = streams.iter().map(|stream| stream.event).max().unwrap_or_default();
-    let end = streams.iter().map(|stream| stream.end).max().unwrap_or_default();
-    let whole = streams.iter().filter(|stream| stream.is_whole).count();
+    let streams = latest(&streams);
     let good = usual.iter().filter(|(is_good, _)| *is_good).count();
     let slowest = usual.iter().map(|(_, took)| *took).max().unwrap_or_default();
     let figures = format!(
-        "{name}: event {event:?}, end {end:?}, whole {whole} of {STREAMS}, usual {good} of {}, slowest {slowest:?}, \
+        "{name}: {streams}, usual {good} of {}, slowest {slowest:?}, \
          highest {highest_kib} KiB, longest wait of socket events {} ms",
         usual.len(),
         longest_poll_lag_ms(node)
     );
     eprintln!("{figures}");
-    assert!(event < EVENT_LIMIT && end < END_LIMIT && whole == STREAMS, "streams were late: {figures}");
+    assert!(streams.is_in_time(), "streams were late: {figures}");
     assert!(good == usual.len() && slowest < USUAL_LIMIT, "usual clients were not {need:?}: {figures}");
     assert!((1..=MEMORY_MB * 1024).contains(&highest_kib), "over the memory limit: {figures}");
 }
--- a/crates/cli/tests/running/flood.rs
+++ b/crates/cli/tests/running/flood.rs
@@ -43,6 +43,8 @@
     OneByteWrites,
     /// New connections that are closed at once.
     Connections,
+    /// Requests for metrics without waiting for answers, which are read and discarded.
+    PipelinedMetrics,
     /// Servers: interim responses without end.
     InterimResponses,
     /// Complete reads, and interim responses without end to releases.
@@ -58,7 +60,7 @@
 }
 
 impl Flood {
-    const ALL: [Flood; 16] = [
+    const ALL: [Flood; 17] = [
         Flood::EmptyLines,
         Flood::UnknownPaths,
         Flood::HealthChecks,
@@ -69,6 +71,7 @@
         Flood::AfterRejection,
         Flood::OneByteWrites,
         Flood::Connections,
+        Flood::PipelinedMetrics,
         Flood::InterimResponses,
         Flood::InterimResponsesToReleases,
         Flood::EndlessChunks,
@@ -259,6 +262,11 @@
                 let _ = stream.write_all(b"GET / HTTP/1.1\r\n\r\n");
                 send_until(&mut stream, &repeated("x"), until);
             }
+            Flood::PipelinedMetrics => {
+                let mut answers = stream.try_clone().expect("a second handle");
+                thread::spawn(move || while answers.read(&mut [0; 65_536]).is_ok_and(|got| got > 0) {});
+                send_until(&mut stream, &repeated("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"), until);
+            }
             Flood::OneByteWrites => {
                 let lines =
                     "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n".to_owned() + &"X: y\r\n".repeat(40);
@@ -286,8 +294,9 @@
 
 fn answer_with_flood(flood: Flood, mut stream: TcpStream, until: Instant) {
     let _ = stream.set_nodelay(true);
-    let stream_begins = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
-                         9\r\ndata: x\n\n\r\n";
+    let event = "data: {\"choices\":[{\"index\":0,\"text\":\"x\"}]}\n\n";
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let stream_begins = format!("{head}{:x}\r\n{event}\r\n", event.len());
     let (mut sequence, mut request) = (1_000_000, [0; 65_536]);
     while let Ok(got) = stream.read(&mut request)
         && got > 0
--- /dev/null
+++ b/crates/cli/tests/running/late.rs
@@ -0,0 +1,71 @@
+//! Streams whose events carry the time at which their host wrote them.
+#![allow(dead_code)] // each test file uses a part of this module
+
+use crate::platform::micros;
+use crate::running::ms;
+use std::fmt;
+use std::io::Read;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Interval between the events of a stream.
+pub const EVENT_INTERVAL_MS: u64 = 50;
+/// The platform's limits for forwarding an event and the end of a stream.
+const EVENT_LIMIT: Duration = ms(300);
+const END_LIMIT: Duration = ms(1000);
+/// How late the events and the end of a stream were.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lateness {
+    pub event: Duration,
+    pub end: Duration,
+    /// Whether the stream came to its end.
+    pub is_whole: bool,
+}
+
+/// Reads a stream of timed events to its end.
+pub fn read_timed_stream(mut stream: TcpStream) -> Lateness {
+    let (mut text, mut buffer, mut checked) = (Vec::new(), [0; 4096], 0);
+    let (mut lateness, mut last_event_micros) = (Lateness::default(), 0);
+    while let Ok(got) = stream.read(&mut buffer)
+        && got > 0
+    {
+        let now = micros();
+        text.extend_from_slice(&buffer[..got]);
+        while let Some(at) = text[checked..].windows(4).position(|window| window == b"\"at ") {
+            let digits = &text[checked + at + 4..];
+            let Some(end) = digits.iter().position(|byte| *byte == b' ') else { break };
+            let written: u64 = String::from_utf8_lossy(&digits[..end]).parse().expect("a time");
+            lateness.event = lateness.event.max(Duration::from_micros(now.saturating_sub(written)));
+            last_event_micros = written;
+            checked += at + 4 + end;
+        }
+        if text.ends_with(b"0\r\n\r\n") {
+            let end_written = last_event_micros + EVENT_INTERVAL_MS * 1000;
+            lateness.end = Duration::from_micros(now.saturating_sub(end_written));
+            lateness.is_whole = true;
+        }
+    }
+    lateness
+}
+
+impl Lateness {
+    pub fn is_in_time(&self) -> bool {
+        self.event < EVENT_LIMIT && self.end < END_LIMIT && self.is_whole
+    }
+}
+
+impl fmt::Display for Lateness {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Lateness { event, end, is_whole } = self;
+        write!(f, "event {event:?}, end {end:?}, whole {is_whole}")
+    }
+}
+
+/// The latest event and end of any of these streams, whole if all are.
+pub fn latest(streams: &[Lateness]) -> Lateness {
+    Lateness {
+        event: streams.iter().map(|stream| stream.event).max().unwrap_or_default(),
+        end: streams.iter().map(|stream| stream.end).max().unwrap_or_default(),
+        is_whole: streams.iter().all(|stream| stream.is_whole),
+    }
+}
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each test file uses a part of this module
 
 pub mod flood;
+pub mod late;
 pub mod limited;
 
 use crate::platform::{Registry, config, exchange};
