Evict slow clients before new ones whose request has arrived

Cause: a client with part of a request is evicted last. One that was accepted a moment ago and not read yet has none, so that it went before clients that had written slowly for a second.

Change: before a client without any part of a request is evicted, its socket is looked at; unread input counts as part of a request.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -538,6 +538,11 @@
         }
     }
 
+    /// Whether bytes have arrived that have not been read.
+    pub fn has_unread_input(&self) -> bool {
+        self.inner.stream.inner().peek(&mut [0; 1]).is_ok_and(|got| got > 0)
+    }
+
     /// Whether the peer has closed an idle connection or sent unrequested bytes: it must not be reused in either case.
     pub fn is_stale(&self) -> bool {
         let mut byte = [0; 1];
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::{Shared, lock};
 use slab::Slab;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -137,6 +138,14 @@
         UnfinishedRequest { bytes, idle: since.elapsed() }
     }
 
+    fn eviction_candidate(&self, shared: &Shared) -> EvictionCandidate {
+        EvictionCandidate {
+            since: self.since().saturating_duration_since(shared.start),
+            partial: self.has_partial(),
+            answered_before: self.answered.load(Ordering::Relaxed) > 0,
+        }
+    }
+
     /// Ends the connection if `ends` holds for `busy`; returns whether it did. A client that has sent part of a
     /// request gets `answer`.
     fn end_if(&self, ends: impl Fn(usize) -> bool, answer: &str) -> bool {
@@ -228,22 +237,33 @@
     /// Evicts a client to make room for one more; returns whether one could be evicted.
     pub fn evict_for_new_client(&self, shared: &Shared) -> bool {
         let open = lock(&self.open);
-        let candidates = open.iter().filter(|(_, client)| !client.has_request() && !client.has_left());
-        let candidates = candidates.map(|(index, client)| {
-            let since = client.since().saturating_duration_since(shared.start);
-            (
-                index,
-                EvictionCandidate {
-                    since,
-                    partial: client.has_partial(),
-                    answered_before: client.answered.load(Ordering::Relaxed) > 0,
-                },
-            )
-        });
-        shared
-            .socket_budget
-            .client_to_evict(shared.now(), candidates)
-            .is_some_and(|index| open[index].end_if_no_whole_request(TOO_MANY_CONNECTIONS))
+        let Some(index) = Self::client_to_evict(&open, shared) else { return false };
+        let evicted = &open[index];
+        // Looked at before the connection is shut.
+        let (age_ms, partial) = (evicted.since().elapsed().as_millis() as u64, evicted.has_partial());
+        let has_unread_input = evicted.link.has_unread_input();
+        let has_ended = evicted.end_if_no_whole_request(TOO_MANY_CONNECTIONS);
+        tracing::debug!(age_ms, partial, has_unread_input, has_ended, "client evicted");
+        has_ended
+    }
+
+    /// The client to evict for a new one. Input that has arrived and is not read yet counts as part of a request; it is
+    /// looked for only where it matters.
+    fn client_to_evict(open: &Slab<Arc<Client>>, shared: &Shared) -> Option<usize> {
+        let may_be_evicted = |client: &Client| !client.has_request() && !client.has_left();
+        let candidates = open.iter().filter(|(_, client)| may_be_evicted(client));
+        let mut candidates: BTreeMap<usize, EvictionCandidate> =
+            candidates.map(|(index, client)| (index, client.eviction_candidate(shared))).collect();
+        loop {
+            let all = candidates.iter().map(|(index, candidate)| (*index, *candidate));
+            let index = shared.socket_budget.client_to_evict(shared.now(), all)?;
+            match candidates.get_mut(&index) {
+                Some(candidate) if !candidate.partial && open[index].link.has_unread_input() => {
+                    candidate.partial = true;
+                }
+                _ => return Some(index),
+            }
+        }
     }
 
     /// Rejects the unfinished request of a client to free its memory for the one of `own`; false if that one has
--- a/crates/platform/src/socket_budget.rs
+++ b/crates/platform/src/socket_budget.rs
@@ -47,7 +47,7 @@
 pub struct EvictionCandidate {
     /// When it was accepted, or when its last answer ended, since the dispatcher's start.
     pub since: Duration,
-    /// Part of a request has been received.
+    /// Part of a request has been received, or has arrived and is not read yet.
     pub partial: bool,
     /// At least one request has been answered: the client is likely to send another.
     pub answered_before: bool,
