Keep ids of requests that must not run again, however many others come

Seen: a client leaves while its single-use request runs, others send 20,000 new ids, the id comes again and runs a second time.

Cause: ids of ended requests were forgotten, oldest first, beyond 8,192, also before their time. Requests that were turned away without having been sent took room as well.

An id for which nothing was sent is free at once.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -20,11 +20,15 @@
 use tulipstall_net::{Listener, open_sockets, spawn};
 use tulipstall_platform::call::{self, Rejection};
 use tulipstall_platform::host::ForwardedCall;
+use tulipstall_platform::ids::{EndedRequest, ReserveError};
 use tulipstall_platform::socket_budget::{Eviction, LINGER_TIMEOUT, REQUEST_TIMEOUT};
 
 /// Advice of when to retry, where another dispatcher or a moment later will do.
 const RETRY_SOON: Duration = Duration::from_millis(200);
 
+/// The same where all requests in hand have to end first.
+const RETRY_LATER: Duration = Duration::from_millis(300);
+
 /// Pause after a connection was rejected, or accepted in place of another. Clients that connect again at once must not take
 /// the time of those that are connected: as long as any coroutine is ready to run, the worker of `may` does not look for
 /// events on sockets, so that yielding is not enough.
@@ -215,11 +219,13 @@
 struct TaskGuard<'a> {
     shared: &'a Shared,
     id: String,
+    /// What may still happen for it when it ends.
+    request: EndedRequest,
 }
 
 impl Drop for TaskGuard<'_> {
     fn drop(&mut self) {
-        lock(&self.shared.ids).end(self.shared.now(), std::mem::take(&mut self.id));
+        lock(&self.shared.ids).end(self.shared.now(), &self.id, self.request);
         self.shared.in_hand.fetch_sub(1, Ordering::SeqCst);
     }
 }
@@ -315,6 +321,11 @@
         self.respond(503, "stopping: ask again", false, self.shared.retry_advice(RETRY_SOON))
     }
 
+    fn reject_overload(&self, head: &RequestHead) -> bool {
+        let retry_after = self.shared.retry_advice(RETRY_LATER);
+        self.respond(503, "too many requests", self.keeps_open(head), retry_after)
+    }
+
     /// Answers one request; returns whether the connection continues.
     fn answer(&mut self, head: &RequestHead, body: Body) -> bool {
         let keep_open = self.keeps_open(head);
@@ -344,11 +355,14 @@
             Ok(call) => call,
             Err(Rejection { status, reason }) => return self.respond(status, reason, false, None),
         };
-        if !lock(&shared.ids).reserve(shared.now(), &call.id) {
-            return self.respond(409, "the id is in use", false, None);
+        let reserved = lock(&shared.ids).reserve(shared.now(), &call.id);
+        match reserved {
+            Ok(()) => {}
+            Err(ReserveError::InUse) => return self.respond(409, "the id is in use", false, None),
+            Err(ReserveError::Full) => return self.reject_overload(head),
         }
         shared.in_hand.fetch_add(1, Ordering::SeqCst);
-        let guard = TaskGuard { shared: &shared, id: call.id.clone() };
+        let mut guard = TaskGuard { shared: &shared, id: call.id.clone(), request: EndedRequest::Unsent };
         // After the check of its id: while a request with this id is open, no answer may say that a retry is
         // harmless.
         if shared.rejecting.load(Ordering::SeqCst) {
@@ -357,9 +371,13 @@
         }
         if shared.has_too_many_tasks() {
             drop(guard);
-            let retry_after = shared.retry_advice(Duration::from_millis(300));
-            return self.respond(503, "too many requests", self.keeps_open(head), retry_after);
+            return self.reject_overload(head);
         }
+        guard.request = if shared.catalog.is_repeatable(call.request.offering) {
+            EndedRequest::Repeatable
+        } else {
+            EndedRequest::Unrepeatable
+        };
         let host = head.header("host").unwrap_or_default().to_owned();
         let reply_to = (Arc::downgrade(&self.client), self.sender.clone());
         let forwarded = ForwardedCall { target: head.target.clone(), host, id: call.id, key: call.key };
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -36,6 +36,9 @@
 /// Limit for the digits of a time or a length.
 const MAX_DIGITS: usize = 12;
 
+/// The effect of offerings whose requests may run any number of times.
+const REPEATABLE_EFFECT: &str = "replayable";
+
 /// Why a request is rejected: the status and the text of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rejection {
@@ -50,11 +53,19 @@
 /// The offerings and customers, in the order of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
-    /// Name and deadline of each.
-    offerings: Vec<(String, Duration)>,
+    offerings: Vec<Offering>,
     customers: Vec<String>,
 }
 
+/// What is known of an offering here.
+#[derive(Clone, Debug)]
+struct Offering {
+    name: String,
+    deadline: Duration,
+    /// Its requests may run any number of times.
+    is_repeatable: bool,
+}
+
 impl Catalog {
     pub fn new(config: &Config) -> Self {
         let name =
@@ -62,10 +73,15 @@
         let deadline = |i: usize| {
             config.duration(&format!("offerings.{i}.hard_stop_us")).unwrap_or(Duration::from_secs(3600))
         };
+        let is_repeatable =
+            |i: usize| config.text(&format!("offerings.{i}.effect")).as_deref() == Some(REPEATABLE_EFFECT);
+        let offering = |i| Offering {
+            name: name("offerings", i),
+            deadline: deadline(i),
+            is_repeatable: is_repeatable(i),
+        };
         Catalog {
-            offerings: (0..config.list_len("offerings"))
-                .map(|i| (name("offerings", i), deadline(i)))
-                .collect(),
+            offerings: (0..config.list_len("offerings")).map(offering).collect(),
             customers: (0..config.list_len("customers")).map(|i| name("customers", i)).collect(),
         }
     }
@@ -74,7 +90,12 @@
 impl Catalog {
     /// The longest time for which any request may wait.
     pub fn max_deadline(&self) -> Duration {
-        self.offerings.iter().map(|(_, deadline)| *deadline).max().unwrap_or_default()
+        self.offerings.iter().map(|offering| offering.deadline).max().unwrap_or_default()
+    }
+
+    /// Whether requests of an offering may run any number of times.
+    pub fn is_repeatable(&self, offering: u32) -> bool {
+        self.offerings.get(offering as usize).is_some_and(|offering| offering.is_repeatable)
     }
 }
 
@@ -128,7 +149,7 @@
         return bad_request("the id can't be read");
     }
     let Some(offering) = single_header(head, OFFERING_HEADER)?
-        .and_then(|lane| catalog.offerings.iter().position(|(name, _)| name == lane))
+        .and_then(|lane| catalog.offerings.iter().position(|offering| offering.name == lane))
     else {
         return bad_request("there is no such class");
     };
@@ -161,7 +182,7 @@
     }
     // A token takes at least one byte, so that no prompt has more tokens than the largest body has bytes.
     let capped = |count: u64| count.min(MAX_BODY_BYTES as u64) as u32;
-    let deadline = catalog.offerings[offering].1;
+    let deadline = catalog.offerings[offering].deadline;
     let expected_duration = single_header(head, EXPECTED_DURATION_HEADER)?
         .and_then(parse_number)
         .filter(|us| *us > 0)
