Do not cut off a stream at an event that is written slowly

Seen: a host writes one event byte by byte, in 7.4 s; its stream is cut off 4.5 s after the event before. A first event is given up 0.3 s after the head.

Cause: only whole events count against the silence of a host, so that an event without end does not hold its client; a slow event looked the same.

Change: an incomplete event that begins as events do and is at most twice as long as any before it (256 bytes at least) is waited for while its bytes come with no pause longer than a silence, and at most 20 s from the event before; a first event until the attempt's deadline.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -336,9 +336,10 @@
         let first_event_until = self.deadline.min(Instant::now() + timeouts::ANSWER_START_TIMEOUT);
         loop {
             received.clear();
+            let until = if events.has_slow_event() { self.deadline } else { first_event_until };
             // The head of the answer has arrived, so the attempt has run and any state that it fetched is used
             // up, whatever happens to the rest.
-            let ended = reply.body(&mut received, first_event_until).map_err(|_| Outcome::Spoilt)?;
+            let ended = reply.body(&mut received, until).map_err(|_| Outcome::Spoilt)?;
             events.feed(&received, &mut bytes).map_err(|_| Outcome::Spoilt)?;
             if events.any_event {
                 return Ok(ShotResult::StreamBegun(Box::new((reply, events, bytes, ended))));
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -20,7 +20,7 @@
     let mut output = Vec::with_capacity(begun.bytes.len() + 256);
     output.extend_from_slice(STREAM_HEAD);
     let (mut bytes, mut received) = (std::mem::take(&mut begun.bytes), Vec::new());
-    let mut last_event = Instant::now();
+    let (mut last_event, mut last_bytes) = (Instant::now(), Instant::now());
     client.set_stream_host(Some(&begun.reply.link));
     let endpoint = begun.endpoint.clone();
     let _stream_entry = endpoint.register_stream(&begun.reply.link);
@@ -43,7 +43,11 @@
         output.clear();
         bytes.clear();
         received.clear();
-        let progress = StreamProgress { last_event, end_marker_seen: begun.events.end_marker_seen };
+        let progress = StreamProgress {
+            last_event,
+            slow_event_bytes_at: begun.events.has_slow_event().then_some(last_bytes),
+            end_marker_seen: begun.events.end_marker_seen,
+        };
         let deadline = || progress.deadline(begun.endpoint.removed_at());
         match begun.reply.body_with_moving_deadline(&mut received, &deadline) {
             Ok(ended) => begun.ended = ended,
@@ -52,6 +56,7 @@
             Err(Fault::Malformed) => break (Outcome::Spoilt, "spoilt"),
             Err(_) => break (Outcome::Broken, "broken"),
         }
+        last_bytes = Instant::now();
         if begun.events.feed(&received, &mut bytes).is_err() {
             break (Outcome::Spoilt, "spoilt");
         }
--- a/crates/node/tests/endless_events.rs
+++ b/crates/node/tests/endless_events.rs
@@ -1,4 +1,4 @@
-//! Streams whose bytes go on arriving without a whole event, and clients that read slowly.
+//! Streams whose bytes go on arriving without a whole event, hosts that write an event slowly, and clients that read slowly.
 
 mod platform;
 
@@ -87,3 +87,24 @@
     let answer = String::from_utf8_lossy(&answer);
     assert!(answer.ends_with("0\r\n\r\n") && answer.contains("[DONE]"), "{} bytes", answer.len());
 }
+
+/// A host writes an event byte by byte, for longer than a host may be silent: its stream is not cut off.
+#[test]
+fn a_stream_with_a_slow_event_is_not_cut_off() {
+    for (name, slow, ms) in [("a later event", 1, 110), ("the first event", 0, 15)] {
+        let p = start_platform(256);
+        p.w1.script_replies(&[ScriptedReply::SlowEvent(slow, ms)]);
+        let from = Instant::now();
+        // Its client waits for longer than usual for the end.
+        let mut stream = connect(p.node.address());
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
+        stream.write_all(request_text("slow", CLOSE).as_bytes()).expect("a request");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        assert!(is_complete_stream(&answer, "slow"), "{name}: after {:?}: {answer}", from.elapsed());
+        let attempts =
+            p.w1.calls().iter().chain(&p.w2.calls()).filter(|(call, ..)| call.starts_with("POST")).count();
+        assert_eq!(attempts, 1, "{name}");
+        println!("{name}: {:?}", from.elapsed());
+    }
+}
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -33,6 +33,9 @@
     PiecesAfterFirstEvent(&'static str, &'static str, u64),
     /// As `PiecesAfterFirstEvent`, without the first event.
     AfterHead(&'static str, &'static str, u64),
+    /// Sends a normal answer; of its events the one with this number is written byte by byte, with this many milliseconds
+    /// after each.
+    SlowEvent(usize, u64),
     /// Sends a normal answer followed at once by these bytes.
     Suffixed(&'static str),
     /// Sends a stream's head and first event, then these bytes.
@@ -199,6 +202,19 @@
                 Some(ScriptedReply::Prefixed(bytes)) => {
                     stream.write_all(format!("{bytes}{answer}").as_bytes())
                 }
+                Some(ScriptedReply::SlowEvent(slow, ms)) => {
+                    let _ = stream.set_nodelay(true);
+                    let mut written = stream.write_all(STREAM_HEAD.as_bytes());
+                    for (number, text) in [id.as_str(), "more"].into_iter().enumerate() {
+                        let chunk = event_chunk(text);
+                        let piece_bytes = if number == slow { 1 } else { chunk.len() };
+                        for piece in chunk.as_bytes().chunks(piece_bytes) {
+                            written = written.and_then(|()| stream.write_all(piece));
+                            thread::sleep(Duration::from_millis(ms));
+                        }
+                    }
+                    written.and_then(|()| stream.write_all(STREAM_END.as_bytes()))
+                }
                 Some(ScriptedReply::Suffixed(bytes)) => {
                     stream.write_all(format!("{answer}{bytes}").as_bytes())
                 }
--- a/crates/platform/src/timeouts.rs
+++ b/crates/platform/src/timeouts.rs
@@ -18,12 +18,17 @@
 /// within a second.
 const STREAM_END_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long an event may take that arrives slowly: counted from the event before it.
+const SLOW_EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// How far a stream has come.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamProgress {
     /// When its last whole event had been passed on. Bytes of an event that never ends are no progress, and a client that
     /// reads slowly is no silence of the host.
     pub last_event: Instant,
+    /// When the last bytes of the next event arrived, if it looks like one that is written slowly.
+    pub slow_event_bytes_at: Option<Instant>,
     /// The last event was the end marker.
     pub end_marker_seen: bool,
 }
@@ -40,7 +45,11 @@
         if self.end_marker_seen {
             return self.last_event + STREAM_END_TIMEOUT;
         }
-        let silence_ends = self.last_event + SILENCE_TIMEOUT;
+        let slow_event_ends = self
+            .slow_event_bytes_at
+            .map(|at| (at + SILENCE_TIMEOUT).min(self.last_event + SLOW_EVENT_TIMEOUT));
+        let silence_ends = slow_event_ends
+            .map_or(self.last_event + SILENCE_TIMEOUT, |ends| ends.max(self.last_event + SILENCE_TIMEOUT));
         let removal_ends =
             host_removed_at.map(|removed_at| self.last_event.max(removed_at) + REMOVED_HOST_SILENCE_TIMEOUT);
         removal_ends.map_or(silence_ends, |removal_ends| removal_ends.min(silence_ends))
