--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -100,6 +100,8 @@
     pub unreachable: Arc<AtomicBool>,
     /// While set, accepts no connection after the next one.
     pub accept_paused: Arc<AtomicBool>,
+    /// While above zero, requests are read by the KiB, with this many milliseconds after each.
+    pub read_pause_ms: Arc<AtomicU64>,
     pub zone: &'static str,
 }
 
@@ -139,6 +141,7 @@
             drops_reused,
             unreachable,
             accept_paused,
+            read_pause_ms: Arc::default(),
             zone,
         };
         let server = host.clone();
@@ -162,7 +165,7 @@
         loop {
             let (head, _) = match reader.poll() {
                 Ok(RequestEvent::Request(head, body)) => (head, body),
-                Ok(_) => match stream.read(&mut buffer) {
+                Ok(_) => match stream.read(self.next_read(&mut buffer)) {
                     Ok(got) if got > 0 => {
                         reader.feed(&buffer[..got]);
                         continue;
@@ -303,6 +306,17 @@
         }
     }
 
+    /// The part of the buffer to read into next; waits if requests are read slowly.
+    fn next_read<'a>(&self, buffer: &'a mut [u8]) -> &'a mut [u8] {
+        match self.read_pause_ms.load(Ordering::SeqCst) {
+            0 => buffer,
+            ms => {
+                thread::sleep(Duration::from_millis(ms));
+                &mut buffer[..1024]
+            }
+        }
+    }
+
     pub fn script_replies(&self, replies: &[ScriptedReply]) {
         self.script.lock().expect("no panic").extend(replies);
     }
