--- a/crates/net/src/tests.rs
+++ b/crates/net/src/link/tests.rs
@@ -1,7 +1,10 @@
 //! A link's deadline against concurrent events, in an order that the test controls.
 
 use super::*;
+use crate::configure_coroutines;
+use std::net::TcpListener;
 use std::sync::atomic::AtomicU32;
+use std::thread;
 
 fn connected_link() -> (Link, TcpStream) {
     configure_coroutines(1, 128 << 10);
--- /dev/null
+++ b/crates/net/src/listener.rs
@@ -0,0 +1,80 @@
+//! Listening sockets.
+
+use crate::polled_socket::PolledSocket;
+use crate::turn::Turn;
+use crate::{Link, errors, watch};
+use socket2::SockRef;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// A listening socket.
+pub struct Listener {
+    io: Arc<PolledSocket<TcpListener>>,
+    /// `accept` returns the connections that are pending, then the listener closes.
+    draining: AtomicBool,
+    closed: AtomicBool,
+    turn: Turn,
+}
+
+impl Listener {
+    pub fn bind(address: SocketAddr) -> io::Result<Listener> {
+        let io = PolledSocket::new(TcpListener::bind(address)?)?;
+        let (draining, closed) = (AtomicBool::new(false), AtomicBool::new(false));
+        Ok(Listener { io, draining, closed, turn: Turn::default() })
+    }
+
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.io.inner().local_addr()
+    }
+
+    /// Accepts the next connection. An error is final if [`Listener::is_closed`] holds.
+    pub fn accept(&self) -> io::Result<(Link, SocketAddr)> {
+        self.turn.end_if_used_up();
+        loop {
+            if self.is_closed() {
+                return Err(io::ErrorKind::NotConnected.into());
+            }
+            let draining = self.draining.load(Ordering::Acquire);
+            match self.io.inner().accept() {
+                Ok((stream, from)) => {
+                    self.turn.count_accept();
+                    return Ok((Link::new(stream)?, from));
+                }
+                Err(error) if errors::is_accepted_connection_error(&error) => {
+                    self.turn.count_accept();
+                    self.turn.end_if_used_up();
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && draining => self.close(),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.io.wait(),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    /// Closes the listener once [`Listener::accept`] has returned all connections that the system has already accepted, as
+    /// their clients may have sent requests.
+    pub fn close_when_drained(&self) {
+        self.draining.store(true, Ordering::Release);
+        self.io.wake();
+    }
+
+    /// Refuses new connections from now on; a waiting [`Listener::accept`] returns an error.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+        let _ = SockRef::from(self.io.inner()).shutdown(Shutdown::Both);
+        self.io.wake();
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.close();
+        watch::defer_drop(Box::new(self.io.clone()));
+    }
+}
--- a/crates/net/src/watch.rs
+++ b/crates/net/src/watch.rs
@@ -4,7 +4,7 @@
 //! The same thread drops released objects after a delay, see [`defer_drop`], and closes links whose peers are given time to
 //! close first, see [`close_later`].
 
-use crate::{Inner, Link};
+use crate::link::{Inner, Link};
 use std::any::Any;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, Weak};
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -71,7 +71,7 @@
             self.pool.clear();
         }
         if let Some(removed_at) = removed_at {
-            let deadline = removed_at + timeouts::removed_host_silence();
+            let deadline = removed_at + timeouts::REMOVED_HOST_SILENCE_TIMEOUT;
             lock(&self.streams).iter().for_each(|(_, link)| link.shorten_read_deadline(deadline));
         }
     }
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -9,7 +9,8 @@
 pub struct RequestMemory {
     budget: MemoryBudget,
     max_clients: usize,
-    max_tasks: usize,
+    /// Tasks that are not settled and releases that are owed.
+    max_unsettled: usize,
     /// Highest number of hosts that were listed at once: freed memory of hosts may stay with the process.
     hosts: AtomicUsize,
     held: AtomicUsize,
@@ -22,11 +23,11 @@
 }
 
 impl RequestMemory {
-    pub fn new(budget: MemoryBudget, max_clients: usize, max_tasks: usize) -> Arc<Self> {
+    pub fn new(budget: MemoryBudget, max_clients: usize, max_unsettled: usize) -> Arc<Self> {
         Arc::new(RequestMemory {
             budget,
             max_clients,
-            max_tasks,
+            max_unsettled,
             hosts: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
             read_ahead: AtomicUsize::new(0),
@@ -70,7 +71,7 @@
     /// Adds `more` bytes for a request of `bytes` bytes in all, if the limits allow it.
     fn try_add(&self, kind: RequestKind, bytes: usize, more: usize) -> bool {
         let hosts = self.hosts.load(Ordering::Relaxed);
-        let limits = self.budget.request_limits(self.max_clients, self.max_tasks, hosts);
+        let limits = self.budget.request_limits(self.max_clients, self.max_unsettled, hosts);
         if kind == RequestKind::Ahead && !add_within(&self.read_ahead, more, limits.read_ahead()) {
             return false;
         }
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -74,7 +74,7 @@
             config.duration(&format!("offerings.{i}.hard_stop_us")).unwrap_or(Duration::from_secs(3600))
         };
         let is_repeatable =
-            |i: usize| config.text(&format!("offerings.{i}.effect")).as_deref() == Some(REPEATABLE_EFFECT);
+            |i: usize| config.text(&format!("offerings.{i}.effect")) == Some(REPEATABLE_EFFECT);
         let offering = |i| Offering {
             name: name("offerings", i),
             deadline: deadline(i),
--- a/crates/platform/src/timeouts.rs
+++ b/crates/platform/src/timeouts.rs
@@ -12,7 +12,7 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(4500);
 
 /// The same for a host that was removed from the list: its last bytes are at most in transit.
-const REMOVED_HOST_SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+pub const REMOVED_HOST_SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How long the end of a stream may take after its end marker: the platform requires it to be passed on
 /// within a second.
@@ -33,11 +33,6 @@
     pub end_marker_seen: bool,
 }
 
-/// How long a host that was removed may be silent.
-pub const fn removed_host_silence() -> Duration {
-    REMOVED_HOST_SILENCE_TIMEOUT
-}
-
 impl StreamProgress {
     /// When the stream is aborted unless a whole event, or its end, arrives. What a host wrote before it was removed has
     /// time to arrive.
