Close a listener in time though clients go on connecting

Cause: a listener that drains closes once its accept queue is empty, which such clients never leave it.

Change: it drains for 250 ms at most. The queue is limited to some hundred connections.

--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -6,14 +6,19 @@
 use socket2::SockRef;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+/// How long connections are still accepted that the system may have accepted before a listener drains: its queue is limited
+/// to some hundred, and new ones may take the place of those that were accepted.
+const MAX_DRAIN_TIME: Duration = Duration::from_millis(250);
 
 /// A listening socket.
 pub struct Listener {
     io: Arc<PolledSocket<TcpListener>>,
-    /// `accept` returns the connections that are pending, then the listener closes.
-    draining: AtomicBool,
+    /// `accept` returns the connections that are pending until this time, then the listener closes.
+    drains_until: OnceLock<Instant>,
     closed: AtomicBool,
     turn: Turn,
 }
@@ -21,8 +26,12 @@
 impl Listener {
     pub fn bind(address: SocketAddr) -> io::Result<Listener> {
         let io = PolledSocket::new(TcpListener::bind(address)?)?;
-        let (draining, closed) = (AtomicBool::new(false), AtomicBool::new(false));
-        Ok(Listener { io, draining, closed, turn: Turn::default() })
+        Ok(Listener {
+            io,
+            drains_until: OnceLock::new(),
+            closed: AtomicBool::new(false),
+            turn: Turn::default(),
+        })
     }
 
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
@@ -33,10 +42,13 @@
     pub fn accept(&self) -> io::Result<(Link, SocketAddr)> {
         self.turn.end_if_used_up();
         loop {
+            let drains_until = self.drains_until.get();
+            if drains_until.is_some_and(|until| *until <= Instant::now()) {
+                self.close();
+            }
             if self.is_closed() {
                 return Err(io::ErrorKind::NotConnected.into());
             }
-            let draining = self.draining.load(Ordering::Acquire);
             match self.io.inner().accept() {
                 Ok((stream, from)) => {
                     self.turn.count_accept();
@@ -46,7 +58,9 @@
                     self.turn.count_accept();
                     self.turn.end_if_used_up();
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock && draining => self.close(),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && drains_until.is_some() => {
+                    self.close()
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.io.wait(),
                 Err(error) => return Err(error),
             }
@@ -58,9 +72,9 @@
     }
 
     /// Closes the listener once [`Listener::accept`] has returned all connections that the system has already accepted, as
-    /// their clients may have sent requests.
+    /// their clients may have sent requests, within a limited time.
     pub fn close_when_drained(&self) {
-        self.draining.store(true, Ordering::Release);
+        let _ = self.drains_until.set(Instant::now() + MAX_DRAIN_TIME);
         self.io.wake();
     }
 
--- a/crates/net/tests/waits.rs
+++ b/crates/net/tests/waits.rs
@@ -4,6 +4,8 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 use tulipstall_net::{Fault, Link, Listener, configure_coroutines, spawn};
@@ -123,3 +125,37 @@
         }
     }
 }
+
+/// Clients that connect again as soon as they are closed never leave the accept queue empty: unless its draining has a time
+/// limit, a listener that is to close accepts for as long as they go on.
+#[test]
+fn a_listener_closes_in_time_though_clients_go_on_connecting() {
+    configure_coroutines(1, 128 << 10);
+    let listener = Arc::new(Listener::bind("127.0.0.1:0".parse().expect("an address")).expect("a port"));
+    let address = listener.local_addr().expect("an address");
+    let ended = Arc::new(AtomicBool::new(false));
+    for _ in 0..40 {
+        let ended = ended.clone();
+        std::thread::spawn(move || {
+            while !ended.load(Ordering::Relaxed) {
+                let _ = TcpStream::connect(address).and_then(|mut stream| stream.read(&mut [0; 1]));
+            }
+        });
+    }
+    let (acceptor, (sender, closed)) = (listener.clone(), channel());
+    spawn(move || {
+        while !acceptor.is_closed() {
+            let _ = acceptor.accept();
+            // As long as it takes to start serving a client.
+            tulipstall_net::sleep(Duration::from_millis(1));
+        }
+        sender.send(Instant::now())
+    });
+    std::thread::sleep(SHORT);
+    let started = Instant::now();
+    listener.close_when_drained();
+    let closed = closed.recv_timeout(Duration::from_secs(3));
+    ended.store(true, Ordering::Relaxed);
+    let took = closed.expect("it does not close").saturating_duration_since(started);
+    assert!(took < Duration::from_millis(500), "{took:?}");
+}
