--- a/crates/cli/tests/flooding_peers.rs
+++ b/crates/cli/tests/flooding_peers.rs
@@ -8,13 +8,13 @@
 
 use platform::*;
 use running::flood::{Flood, FloodProcess, run_if_flooding_peer};
-use running::late::{EVENT_INTERVAL_MS, Lateness, latest, read_timed_stream};
+use running::late::{Lateness, latest, start_timed_streams};
 use running::limited::{LimitedNode, is_served, last_request_of};
 use running::ms;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::PoisonError;
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// The process of a flooding peer.
@@ -42,20 +42,6 @@
 const LEAVING_CLIENTS: usize = 2000;
 const WRITER_DELAY_MS: u64 = 100;
 
-/// Starts streams that are watched beside a flood; returns once their first events have arrived.
-fn start_streams(node: &LimitedNode) -> Vec<JoinHandle<Lateness>> {
-    let reply = ScriptedReply::TimedEvents(EVENTS, EVENT_INTERVAL_MS, EventFraming::OnePerChunk);
-    node.writes.lock().expect("no panic").extend([reply; STREAMS]);
-    let start = |number| {
-        let mut stream = connect(node.address);
-        let text = request_text(&format!("watched{number}"), "Connection: close\r\n");
-        stream.write_all(text.as_bytes()).expect("a request");
-        while stream.peek(&mut [0; 1]).expect("the first event") == 0 {}
-        thread::spawn(move || read_timed_stream(stream))
-    };
-    (0..STREAMS).map(start).collect()
-}
-
 /// What usual clients need beside a flood.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Need {
@@ -88,7 +74,7 @@
 
 /// Checks the streams and usual clients beside peers that flood.
 fn check_beside(name: &str, node: &LimitedNode, need: Need, start_flood: impl FnOnce() -> Vec<FloodProcess>) {
-    let streams = start_streams(node);
+    let streams = start_timed_streams(node.address, &node.writes, STREAMS, EVENTS);
     let peers = start_flood();
     let (started, mut usual, mut highest_kib) = (Instant::now(), Vec::new(), 0);
     while started.elapsed() < Duration::from_secs(USUAL_SECONDS) {
--- a/crates/cli/tests/running/flood.rs
+++ b/crates/cli/tests/running/flood.rs
@@ -60,7 +60,7 @@
 }
 
 impl Flood {
-    const ALL: [Flood; 17] = [
+    pub const ALL: [Flood; 17] = [
         Flood::EmptyLines,
         Flood::UnknownPaths,
         Flood::HealthChecks,
@@ -80,7 +80,7 @@
         Flood::ListInOneByteChunks,
     ];
 
-    fn is_server(self) -> bool {
+    pub fn is_server(self) -> bool {
         matches!(
             self,
             Flood::InterimResponses
--- a/crates/cli/tests/running/late.rs
+++ b/crates/cli/tests/running/late.rs
@@ -1,11 +1,12 @@
 //! Streams whose events carry the time at which their host wrote them.
 #![allow(dead_code)] // each test file uses a part of this module
 
-use crate::platform::micros;
+use crate::platform::{EventFraming, Script, ScriptedReply, connect, micros, request_text};
 use crate::running::ms;
 use std::fmt;
-use std::io::Read;
-use std::net::TcpStream;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 /// Interval between the events of a stream.
@@ -48,6 +49,25 @@
     lateness
 }
 
+/// Starts streams that are watched; returns once their first events have arrived.
+pub fn start_timed_streams(
+    address: SocketAddr,
+    writes: &Script,
+    streams: usize,
+    events: usize,
+) -> Vec<JoinHandle<Lateness>> {
+    let reply = ScriptedReply::TimedEvents(events, EVENT_INTERVAL_MS, EventFraming::OnePerChunk);
+    writes.lock().expect("no panic").extend(std::iter::repeat_n(reply, streams));
+    let start = |number| {
+        let mut stream = connect(address);
+        let text = request_text(&format!("watched{number}"), "Connection: close\r\n");
+        stream.write_all(text.as_bytes()).expect("a request");
+        while stream.peek(&mut [0; 1]).expect("the first event") == 0 {}
+        thread::spawn(move || read_timed_stream(stream))
+    };
+    (0..streams).map(start).collect()
+}
+
 impl Lateness {
     pub fn is_in_time(&self) -> bool {
         self.event < EVENT_LIMIT && self.end < END_LIMIT && self.is_whole
--- a/crates/cli/tests/running/limited.rs
+++ b/crates/cli/tests/running/limited.rs
@@ -55,6 +55,8 @@
     /// Replies of the writers.
     pub writes: Script,
     pub registry: Registry,
+    /// The reader and both writers.
+    pub hosts: [Host; 3],
 }
 
 /// Whether an answer is a complete stream for the request with this id, of any length.
@@ -90,16 +92,26 @@
 
 impl LimitedNode {
     pub fn start(name: &str, memory_mb: u64, sockets: usize) -> LimitedNode {
+        Self::start_with(name, memory_mb, sockets, str::to_owned)
+    }
+
+    /// Like `start`, with the configuration text passed through `change`.
+    pub fn start_with(
+        name: &str,
+        memory_mb: u64,
+        sockets: usize,
+        change: impl Fn(&str) -> String,
+    ) -> LimitedNode {
         let (reads, writes) = (Script::default(), Script::default());
         let r1 = Host::start("r1", &reads);
         let (w1, w2) = (Host::start("w1", &writes), Host::start("w2", &writes));
         let registry = Registry::start(&[&r1, &w1, &w2]);
         let limited = |config: &str| {
-            config.replace("\"limits\":{", &format!("\"limits\":{{\"memory_mb\":{memory_mb},"))
+            change(config).replace("\"limits\":{", &format!("\"limits\":{{\"memory_mb\":{memory_mb},"))
         };
         let process = NodeProcess::start_with(name, &registry, sockets, limited).wait_ready();
         let address = process.address;
-        LimitedNode { process, address, memory_mb, reads, writes, registry }
+        LimitedNode { process, address, memory_mb, reads, writes, registry, hosts: [r1, w1, w2] }
     }
 
     /// The memory of the process in KiB, which must not exceed the limit.
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each test file uses a part of this module
 
 pub mod flood;
+pub mod kept_client;
 pub mod late;
 pub mod limited;
 
@@ -125,6 +126,16 @@
         assert!(status.is_ok_and(|status| status.success()), "{name}");
     }
 
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Kills the process (SIGKILL).
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits for the process to exit; returns its status and the time waited.
     pub fn wait_for_exit(&mut self, within: Duration) -> (ExitStatus, Duration) {
         let started = Instant::now();
