Hold no client behind a host that stopped within an event

Cause: since slow events are waited for, a host that stops within an event was given a whole silence from its last byte (up to 9 s behind the last event, 5 s allowed), and one that stops within its first event the rest of the attempt's time.

Change: once a silence would have ended, bytes of a slow event may pause for 0.5 s; within a first event for 0.3 s, as before its first byte.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -333,13 +333,12 @@
 
     fn first_event(&self, mut reply: Reply) -> Result<ShotResult, Outcome> {
         let (mut events, mut bytes, mut received) = (EventSplitter::default(), Vec::new(), Vec::new());
-        let first_event_until = self.deadline.min(Instant::now() + timeouts::ANSWER_START_TIMEOUT);
+        let mut first_event_until = self.deadline.min(Instant::now() + timeouts::ANSWER_START_TIMEOUT);
         loop {
             received.clear();
-            let until = if events.has_slow_event() { self.deadline } else { first_event_until };
             // The head of the answer has arrived, so the attempt has run and any state that it fetched is used
             // up, whatever happens to the rest.
-            let ended = reply.body(&mut received, until).map_err(|_| Outcome::Spoilt)?;
+            let ended = reply.body(&mut received, first_event_until).map_err(|_| Outcome::Spoilt)?;
             events.feed(&received, &mut bytes).map_err(|_| Outcome::Spoilt)?;
             if events.any_event {
                 return Ok(ShotResult::StreamBegun(Box::new((reply, events, bytes, ended))));
@@ -347,6 +346,9 @@
             if ended {
                 return Err(Outcome::Spoilt);
             }
+            if events.has_slow_event() {
+                first_event_until = self.deadline.min(Instant::now() + timeouts::ANSWER_START_TIMEOUT);
+            }
         }
     }
 }
--- a/crates/node/tests/endless_events.rs
+++ b/crates/node/tests/endless_events.rs
@@ -17,6 +17,9 @@
 const ENDLESS_EVENT: &str = "10\r\nxxxxxxxxxxxxxxxx\r\n";
 const EVENT_BEGINS: &str = "6\r\ndata: \r\n";
 
+const HALF_EVENT: &str = "9\r\ndata: {\"c\r\n";
+const HALF_FIRST_EVENT: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: {\"c\r\n";
+
 /// Bytes go on arriving behind the first event, or behind the end marker, and never make a whole event or the end. Unless only
 /// these count, the client waits for as long as the host goes on.
 #[test]
@@ -36,6 +39,7 @@
             STREAM_END_LIMIT,
         ),
         ("event", ScriptedReply::PiecesAfterFirstEvent(EVENT_BEGINS, ENDLESS_EVENT, 240), SILENCE_LIMIT),
+        ("host that stops within an event", ScriptedReply::RawAfterFirstEvent(HALF_EVENT), SILENCE_LIMIT),
     ] {
         let p = start_platform(256);
         p.w1.script_replies(&[reply]);
@@ -61,15 +65,20 @@
     assert!(answer.starts_with("HTTP/1.1 200") && !answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
-/// The first event never ends: the attempt is given up in the time of a first event, and the request runs elsewhere.
+/// The first event never ends, or its host stops within it: the attempt is given up in the time of a first event, and the request
+/// runs elsewhere.
 #[test]
 fn a_first_event_without_end_is_given_up() {
-    let p = start_platform(256);
-    p.w1.script_replies(&[ScriptedReply::AfterHead(EVENT_BEGINS, ENDLESS_EVENT, 50)]);
-    let from = Instant::now();
-    let answer = exchange(p.node.address(), &request_text("first", CLOSE));
-    assert!(is_complete_stream(&answer, "first"), "{answer}");
-    assert!(from.elapsed() < Duration::from_millis(1500), "{:?}", from.elapsed());
+    for reply in
+        [ScriptedReply::AfterHead(EVENT_BEGINS, ENDLESS_EVENT, 50), ScriptedReply::Raw(HALF_FIRST_EVENT)]
+    {
+        let p = start_platform(256);
+        p.w1.script_replies(&[reply]);
+        let from = Instant::now();
+        let answer = exchange(p.node.address(), &request_text("first", CLOSE));
+        assert!(is_complete_stream(&answer, "first"), "{reply:?}: {answer}");
+        assert!(from.elapsed() < Duration::from_millis(1500), "{reply:?}: {:?}", from.elapsed());
+    }
 }
 
 /// A client stops reading a long answer for longer than a host may be silent. Its host has written all the while and is not silent:
--- a/crates/platform/src/timeouts.rs
+++ b/crates/platform/src/timeouts.rs
@@ -21,6 +21,10 @@
 /// How long an event may take that arrives slowly: counted from the event before it.
 const SLOW_EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longest pause between bytes of such an event once a silence would have ended: a host that stopped within an event must
+/// not hold its client for longer than any silent one may.
+const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(500);
+
 /// How far a stream has come.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamProgress {
@@ -40,11 +44,11 @@
         if self.end_marker_seen {
             return self.last_event + STREAM_END_TIMEOUT;
         }
-        let slow_event_ends = self
-            .slow_event_bytes_at
-            .map(|at| (at + SILENCE_TIMEOUT).min(self.last_event + SLOW_EVENT_TIMEOUT));
-        let silence_ends = slow_event_ends
-            .map_or(self.last_event + SILENCE_TIMEOUT, |ends| ends.max(self.last_event + SILENCE_TIMEOUT));
+        let mut silence_ends = self.last_event + SILENCE_TIMEOUT;
+        if let Some(bytes_at) = self.slow_event_bytes_at {
+            let slow_event_ends = (bytes_at + SLOW_EVENT_PAUSE).min(self.last_event + SLOW_EVENT_TIMEOUT);
+            silence_ends = silence_ends.max(slow_event_ends);
+        }
         let removal_ends =
             host_removed_at.map(|removed_at| self.last_event.max(removed_at) + REMOVED_HOST_SILENCE_TIMEOUT);
         removal_ends.map_or(silence_ends, |removal_ends| removal_ends.min(silence_ends))
--- a/crates/platform/src/timeouts/tests.rs
+++ b/crates/platform/src/timeouts/tests.rs
@@ -20,7 +20,7 @@
     assert_eq!(later.deadline(Some(at(0))), at(3000));
 }
 
-/// A slow event is waited for as long as its bytes come, and not without end.
+/// A slow event is waited for as long as its bytes come without long pauses, and not without end.
 #[test]
 fn a_slow_event_has_more_time_than_silence() {
     let start = Instant::now();
@@ -28,8 +28,11 @@
     let silent = StreamProgress { last_event: start, slow_event_bytes_at: None, end_marker_seen: false };
     let slow = |bytes_at| StreamProgress { slow_event_bytes_at: Some(at(bytes_at)), ..silent };
     assert_eq!(slow(0).deadline(None), silent.deadline(None));
-    assert_eq!(slow(4000).deadline(None), at(8500));
-    assert_eq!(slow(19_000).deadline(None), at(20_000));
+    // Its host has stopped within it: no longer than the platform's 5 s.
+    assert_eq!(slow(1000).deadline(None), silent.deadline(None));
+    assert!(slow(4499).deadline(None) <= at(5000));
+    assert_eq!(slow(10_000).deadline(None), at(10_500));
+    assert_eq!(slow(19_900).deadline(None), at(20_000));
     // What a removed host wrote before has time to arrive, and no more.
     assert_eq!(slow(4000).deadline(Some(at(0))), silent.deadline(Some(at(0))));
 }
