Test of endless events: begin them once the first event has been passed on

Trace: the host wrote the bytes that are no event right behind its first event. Where one read returns both, nothing has been passed on, the attempt counts as spoilt, and the request runs at the other writer, whose answer the client got.

Change: the host waits for 0.3 s in between, so that the case is the one that its test names; limits and checks are as they were. A test of its own sends both in one write and expects the answer of the other writer.

--- a/crates/node/tests/endless_events.rs
+++ b/crates/node/tests/endless_events.rs
@@ -20,6 +20,9 @@
 const HALF_EVENT: &str = "9\r\ndata: {\"c\r\n";
 const HALF_FIRST_EVENT: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: {\"c\r\n";
 
+const SPOILT_WITH_FIRST_EVENT: &str =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n1\r\nd\r\n1\r\nd\r\n";
+
 /// Bytes go on arriving behind the first event, or behind the end marker, and never make a whole event or the end. Unless only
 /// these count, the client waits for as long as the host goes on.
 #[test]
@@ -50,6 +53,15 @@
     }
 }
 
+/// Bytes that are no event arrive together with the first event, so that nothing has been passed on: the request runs elsewhere.
+#[test]
+fn a_stream_that_is_spoilt_along_with_its_first_event_runs_elsewhere() {
+    let p = start_platform(256);
+    p.w1.script_replies(&[ScriptedReply::Raw(SPOILT_WITH_FIRST_EVENT)]);
+    let answer = exchange(p.node.address(), &request_text("spoilt", CLOSE));
+    assert!(is_complete_stream(&answer, "spoilt"), "{answer}");
+}
+
 /// A host is removed from the list while bytes of an endless event go on arriving: its stream ends as soon as that of a silent one.
 #[test]
 fn a_removed_host_does_not_hold_its_client_with_bytes_that_end_no_event() {
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -26,7 +26,8 @@
     AfterPieces(&'static [&'static str], u64),
     /// Sends these bytes again and again, every so many milliseconds, until the connection ends.
     Endless(&'static str, u64),
-    /// Sends a stream's head and first event, then these bytes again and again, every so many milliseconds.
+    /// Sends a stream's head and first event, and once these have been passed on these bytes again and again, every so many
+    /// milliseconds.
     EndlessAfterFirstEvent(&'static str, u64),
     /// Sends a stream's head and first event, then the first of these texts, then the second one again and again, every so
     /// many milliseconds.
@@ -105,6 +106,9 @@
     pub zone: &'static str,
 }
 
+/// Time in which a first event has been passed on, also on a loaded machine.
+const FIRST_EVENT_PASSED_ON: Duration = Duration::from_millis(300);
+
 /// One server-sent event with this text, as an HTTP chunk.
 pub fn event_chunk(text: &str) -> String {
     let event = format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n");
@@ -277,6 +281,7 @@
                 Some(ScriptedReply::Endless(bytes, ms)) => return send_endlessly(stream, bytes, ms),
                 Some(ScriptedReply::EndlessAfterFirstEvent(bytes, ms)) => {
                     let _ = stream.write_all(begun.as_bytes());
+                    thread::sleep(FIRST_EVENT_PASSED_ON);
                     return send_endlessly(stream, bytes, ms);
                 }
                 Some(ScriptedReply::PiecesAfterFirstEvent(text, bytes, ms)) => {
