Wait and resume coroutines in functions of their own, which are never inlined

Cause: a coroutine may go on in another thread after a wait. follow_polls waits in a loop and resumes others; the optimizer read the thread's address once before the loop (mrs x23, tpidr_el0) and used it after the wait for may's number of the worker. Coroutines were added to the queue of another worker, which only that one may do, and got lost; then a poll round did not end, for which all busy sockets waited.

Excluded: lost events of the event descriptors, an order of memory accesses that arm64 allows (the accesses of may and of the round are ordered), descriptors closed under their number; the fault needs optimized code and more than one worker.

Change: Waiter, Mutex and Semaphore of the net package do one of the two each and are never inlined; the pool and the counts by address use a plain lock, as nobody waits under it. In the new program no function that waits reads the worker's number (by its disassembly).

--- a/crates/dispatcher/src/front.rs
+++ b/crates/dispatcher/src/front.rs
@@ -6,7 +6,6 @@
 use crate::shot::BegunAnswer;
 use crate::task::Task;
 use crate::{Shared, relay};
-use may::sync::{Mutex, Semphore};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::IpAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -18,6 +17,7 @@
 use tulipstall_http1::{Limits, RequestError, RequestEvent, RequestHead, RequestReader};
 use tulipstall_messages::{self as messages, ApiError, ErrorKind, MessageRequest, estimate_tokens};
 use tulipstall_net::channel::{Receiver, Sender, channel};
+use tulipstall_net::sync::{Mutex, Semaphore};
 use tulipstall_net::{Fault, Link, Listener, READ_BUFFER_BYTES, spawn};
 use tulipstall_recovery::budget::{RecoveryRequest, Verdict};
 use tulipstall_recovery::{AfterLoss, ResumableAnswer};
@@ -72,7 +72,7 @@
     /// Connection to the writer that streams to this client; it is closed when the client disconnects.
     pub writer: std::sync::Mutex<Option<Link>>,
     /// Free places for pipelined requests.
-    pipeline_slots: Semphore,
+    pipeline_slots: Semaphore,
 }
 
 impl Client {
@@ -83,7 +83,7 @@
 
 /// Accepts client connections and starts their coroutines.
 pub fn start(shared: Arc<Shared>, listener: Listener) {
-    let address_counts: Arc<Mutex<BTreeMap<IpAddr, usize>>> = Arc::default();
+    let address_counts: Arc<std::sync::Mutex<BTreeMap<IpAddr, usize>>> = Arc::default();
     spawn(move || {
         loop {
             let Ok((link, peer)) = listener.accept() else {
@@ -130,7 +130,7 @@
             let now = Instant::now();
             clients.retain(|client| {
                 let Some(client) = client.upgrade() else { return false };
-                let Ok(mut stream) = client.stream.try_lock() else { return true };
+                let Some(mut stream) = client.stream.try_lock() else { return true };
                 if stream.pending_ping.is_empty()
                     && stream.last_write.is_some_and(|last| now >= last + interval)
                 {
@@ -159,7 +159,11 @@
 }
 
 /// Subtracts a closed connection from the counts.
-fn release_connection(shared: &Shared, address_counts: &Mutex<BTreeMap<IpAddr, usize>>, ip: IpAddr) {
+fn release_connection(
+    shared: &Shared,
+    address_counts: &std::sync::Mutex<BTreeMap<IpAddr, usize>>,
+    ip: IpAddr,
+) {
     shared.connections.fetch_sub(1, Ordering::SeqCst);
     if let Ok(mut address_counts) = address_counts.lock()
         && let Some(count) = address_counts.get_mut(&ip)
@@ -175,7 +179,7 @@
 struct ConnectionGuard {
     shared: Arc<Shared>,
     /// Open connections by client address.
-    address_counts: Arc<Mutex<BTreeMap<IpAddr, usize>>>,
+    address_counts: Arc<std::sync::Mutex<BTreeMap<IpAddr, usize>>>,
     ip: IpAddr,
 }
 
@@ -209,7 +213,7 @@
             Ok(RequestEvent::Request(head, body)) => {
                 reading_since = None;
                 client.unanswered.fetch_add(1, Ordering::SeqCst);
-                client.pipeline_slots.wait();
+                client.pipeline_slots.acquire();
                 if inbox.send(ConnectionMessage::Request(head, body)).is_err() {
                     return ConnectionMessage::ClientLeft;
                 }
@@ -262,7 +266,7 @@
         unanswered: AtomicUsize::new(0),
         stream: Mutex::new(StreamState::default()),
         writer: std::sync::Mutex::new(None),
-        pipeline_slots: Semphore::new(MAX_PIPELINED_REQUESTS),
+        pipeline_slots: Semaphore::new(MAX_PIPELINED_REQUESTS),
     });
     let (reader_shared, reader_client, reader_sender) = (shared.clone(), client.clone(), sender.clone());
     spawn(move || {
@@ -320,7 +324,7 @@
             let keep_open = match message {
                 ConnectionMessage::Request(head, body) => {
                     let keep_open = self.handle_request(&head, body);
-                    self.client.pipeline_slots.post();
+                    self.client.pipeline_slots.release();
                     if self.client.unanswered.fetch_sub(1, Ordering::SeqCst) == 1 {
                         let idle = Duration::from_millis(self.shared.settings.times.keep_alive_ms);
                         self.client.link.set_read_deadline(Some(Instant::now() + idle));
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -12,7 +12,7 @@
 mod task;
 
 use hosts::Hosts;
-use may::sync::{Semphore, mpsc};
+use may::sync::mpsc;
 use metrics::Metrics;
 use owner::OwnerMessage;
 use std::io;
@@ -22,6 +22,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tulipstall_net::Listener;
+use tulipstall_net::sync::Semaphore;
 use tulipstall_prefix::chain::HashKey;
 use tulipstall_recovery::TextBudget;
 use tulipstall_recovery::budget::{Budget, RecoveryRequest, Verdict};
@@ -35,13 +36,13 @@
 #[derive(Clone)]
 pub(crate) struct OwnerQueue {
     sender: mpsc::Sender<OwnerMessage>,
-    free_slots: Arc<Semphore>,
+    free_slots: Arc<Semaphore>,
 }
 
 impl OwnerQueue {
     /// Sends a message, waiting while the queue is full.
     pub(crate) fn send(&self, message: OwnerMessage) {
-        self.free_slots.wait();
+        self.free_slots.acquire();
         // The owner lives as long as the process.
         let _ = self.sender.send(message);
     }
@@ -154,7 +155,7 @@
         let (sender, receiver) = mpsc::channel();
         let shared = Arc::new(Shared {
             start: Instant::now(),
-            owner_queue: OwnerQueue { sender, free_slots: Arc::new(Semphore::new(settings.limits.events)) },
+            owner_queue: OwnerQueue { sender, free_slots: Arc::new(Semaphore::new(settings.limits.events)) },
             hosts: Hosts::new(&settings),
             metrics: Metrics::new(&settings),
             draining: AtomicBool::new(false),
--- a/crates/dispatcher/src/owner.rs
+++ b/crates/dispatcher/src/owner.rs
@@ -123,7 +123,7 @@
             let message =
                 if wait.is_zero() { messages.try_recv().ok() } else { messages.recv_timeout(wait).ok() };
             if message.is_some() {
-                self.shared.owner_queue.free_slots.post();
+                self.shared.owner_queue.free_slots.release();
             }
             let decision_start = Instant::now();
             let mut outputs = std::mem::take(&mut self.outputs);
--- a/crates/net/src/channel.rs
+++ b/crates/net/src/channel.rs
@@ -2,7 +2,7 @@
 //! of bytes: a channel of `may` takes two blocks of 64 messages from its start, which the allocator has to align and
 //! therefore cannot put where it freed others like them.
 
-use may::sync::Blocker;
+use crate::waiter::Waiter;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -14,7 +14,7 @@
 struct State<T> {
     messages: VecDeque<T>,
     /// The receiver, while it waits.
-    waiting: Option<Arc<Blocker>>,
+    waiting: Option<Waiter>,
     is_closed: bool,
 }
 
@@ -57,7 +57,7 @@
             state.waiting.take()
         };
         if let Some(receiver) = waiting {
-            receiver.unpark();
+            receiver.resume();
         }
         Ok(())
     }
@@ -75,15 +75,15 @@
             if let Some(message) = self.try_recv() {
                 return message;
             }
-            let blocker = Blocker::current();
+            let waiter = Waiter::current();
             {
                 let mut state = self.channel.lock();
                 if !state.messages.is_empty() {
                     continue;
                 }
-                state.waiting = Some(blocker.clone());
+                state.waiting = Some(waiter.clone());
             }
-            let _ = blocker.park(None);
+            waiter.wait();
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,7 +11,9 @@
 mod pool;
 mod reply;
 mod sleep;
+pub mod sync;
 mod turn;
+mod waiter;
 mod watch;
 
 pub use link::Link;
--- a/crates/net/src/poll_round.rs
+++ b/crates/net/src/poll_round.rs
@@ -4,13 +4,14 @@
 //! channel wakes, may be ready again before that. An event that only a poll can deliver proves that there was one: each
 //! worker has an event descriptor, and a round ends once the events of all of them have arrived.
 
+use crate::polled_socket::wait_for_event;
+use crate::waiter::Waiter;
 use may::coroutine::is_coroutine;
-use may::io::{CoIo, WaitIo};
-use may::sync::Blocker;
+use may::io::CoIo;
 use nix::sys::eventfd::{EfdFlags, EventFd};
 use std::io;
 use std::os::fd::AsRawFd;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Wait that stands in for a round where the process could not get event descriptors at its start.
@@ -23,9 +24,9 @@
         return;
     }
     let Some(rounds) = poll_rounds() else { return crate::sleep(FALLBACK_WAIT) };
-    let blocker = Blocker::current();
-    rounds.join_next(blocker.clone());
-    let _ = blocker.park(None);
+    let waiter = Waiter::current();
+    rounds.join_next(waiter.clone());
+    waiter.wait();
 }
 
 /// The event descriptors of the workers, and the round in progress.
@@ -38,9 +39,9 @@
     /// By worker: the round in progress waits for its poll. None does between rounds.
     awaited: Vec<bool>,
     /// Coroutines that the end of the round in progress resumes.
-    current: Vec<Arc<Blocker>>,
+    current: Vec<Waiter>,
     /// Coroutines that came during that round, after the poll of some worker perhaps: they wait for the next one.
-    next: Vec<Arc<Blocker>>,
+    next: Vec<Waiter>,
 }
 
 fn poll_rounds() -> Option<&'static PollRounds> {
@@ -82,9 +83,9 @@
     }
 
     /// Adds a coroutine to the next round, and begins that if none is in progress.
-    fn join_next(&self, blocker: Arc<Blocker>) {
+    fn join_next(&self, waiter: Waiter) {
         let mut state = self.lock();
-        state.next.push(blocker);
+        state.next.push(waiter);
         self.begin_if_due(&mut state);
     }
 
@@ -104,15 +105,13 @@
     /// Notes each poll of a worker.
     fn follow_polls(&self, worker: usize) {
         loop {
-            self.poll_events[worker].wait_io();
-            for blocker in self.end_poll(worker) {
-                blocker.unpark();
-            }
+            wait_for_event(&self.poll_events[worker]);
+            self.end_poll(worker).iter().for_each(Waiter::resume);
         }
     }
 
     /// Notes that a worker has polled; returns the coroutines to resume if that ends the round.
-    fn end_poll(&self, worker: usize) -> Vec<Arc<Blocker>> {
+    fn end_poll(&self, worker: usize) -> Vec<Waiter> {
         let mut state = self.lock();
         let was_awaited = std::mem::replace(&mut state.awaited[worker], false);
         if !was_awaited || state.awaited.contains(&true) {
--- a/crates/net/src/polled_socket.rs
+++ b/crates/net/src/polled_socket.rs
@@ -18,6 +18,13 @@
     _open: OpenSocket,
 }
 
+/// Suspends the calling coroutine until the next event of a descriptor. Spurious wake-ups occur.
+// Never inlined, see `Waiter`.
+#[inline(never)]
+pub fn wait_for_event<T: AsRawFd>(io: &CoIo<T>) {
+    io.wait_io();
+}
+
 /// Number of [`OpenSocket`] values.
 static OPEN_SOCKETS: AtomicUsize = AtomicUsize::new(0);
 
@@ -54,6 +61,8 @@
 
     /// Wakes the waiting coroutine. Needed in addition to a shutdown, which need not raise an event on a socket that is still
     /// connecting.
+    // Never inlined, see `Waiter`.
+    #[inline(never)]
     pub fn wake(&self) {
         self.io.waker().wakeup();
     }
@@ -61,7 +70,7 @@
     /// Waits for the next event. Spurious wake-ups occur.
     pub fn wait(&self) {
         if is_coroutine() {
-            self.io.wait_io();
+            wait_for_event(&self.io);
         } else {
             // Plain threads are not on the program's usual path, so polling is good enough.
             thread::sleep(Duration::from_millis(1));
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -1,8 +1,8 @@
 //! Idle connections that are kept for further requests.
 
 use crate::{Fault, Link};
-use may::sync::Mutex;
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// Idle connections to one peer.
--- a/crates/net/src/sleep.rs
+++ b/crates/net/src/sleep.rs
@@ -1,18 +1,18 @@
 //! Sleep for coroutines: one timer thread with a heap. The timers of `may` are not used, as they miscount the references
 //! to their entries under load; its timer thread then panics and sleeping coroutines never wake (docs/coroutines.md).
 
+use crate::waiter::Waiter;
 use may::coroutine::is_coroutine;
-use may::sync::Blocker;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
+use std::sync::{Condvar, Mutex, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// A sleeping coroutine, ordered by its wake-up time.
 struct Sleeper {
     wake_at: Instant,
-    blocker: Arc<Blocker>,
+    waiter: Waiter,
 }
 
 impl Ord for Sleeper {
@@ -57,18 +57,18 @@
     if !is_coroutine() {
         return thread::sleep(duration);
     }
-    let (wake_at, blocker) = (Instant::now() + duration, Blocker::current());
+    let (wake_at, waiter) = (Instant::now() + duration, Waiter::current());
     while Instant::now() < wake_at {
         let queue = sleep_queue();
         {
             let mut sleepers = queue.sleepers.lock().unwrap_or_else(PoisonError::into_inner);
             let is_earliest = sleepers.peek().is_none_or(|Reverse(first)| wake_at < first.wake_at);
-            sleepers.push(Reverse(Sleeper { wake_at, blocker: blocker.clone() }));
+            sleepers.push(Reverse(Sleeper { wake_at, waiter: waiter.clone() }));
             if is_earliest {
                 queue.new_earliest.notify_one();
             }
         }
-        let _ = blocker.park(None);
+        waiter.wait();
     }
 }
 
@@ -83,7 +83,7 @@
         if !due.is_empty() {
             // The lock is released while sleepers are woken.
             drop(sleepers);
-            due.drain(..).for_each(|Reverse(sleeper)| sleeper.blocker.unpark());
+            due.drain(..).for_each(|Reverse(sleeper)| sleeper.waiter.resume());
             sleepers = queue.sleepers.lock().unwrap_or_else(PoisonError::into_inner);
             continue;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,6 @@
 
 use host_changes::HostChanges;
 use hosts::Hosts;
-use may::sync::Semphore;
 use memory::RequestMemory;
 use owner::OwnerMessage;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -32,6 +31,7 @@
 use std::time::{Duration, Instant};
 use std::{fs, io, thread};
 use tulipstall_core::Core;
+use tulipstall_net::sync::Semaphore;
 use tulipstall_net::{Link, Listener};
 use tulipstall_platform::call::Catalog;
 use tulipstall_platform::ids::RequestIds;
@@ -45,13 +45,13 @@
 #[derive(Clone)]
 struct OwnerQueue {
     sender: may::sync::mpsc::Sender<OwnerMessage>,
-    free_slots: Arc<Semphore>,
+    free_slots: Arc<Semaphore>,
 }
 
 impl OwnerQueue {
     /// Waits for a free slot in the queue.
     fn send(&self, message: OwnerMessage) {
-        self.free_slots.wait();
+        self.free_slots.acquire();
         // The owner lives as long as the process.
         let _ = self.sender.send(message);
     }
@@ -166,7 +166,7 @@
         let shared = Arc::new(Shared {
             catalog,
             start: Instant::now(),
-            owner_queue: OwnerQueue { sender, free_slots: Arc::new(Semphore::new(OWNER_QUEUE_CAPACITY)) },
+            owner_queue: OwnerQueue { sender, free_slots: Arc::new(Semaphore::new(OWNER_QUEUE_CAPACITY)) },
             host_changes: HostChanges::default(),
             hosts: Hosts::new(idle_timeout, start.seed, start.config.text("zone")),
             socket_budget,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -88,7 +88,7 @@
             let message =
                 if wait.is_zero() { messages.try_recv().ok() } else { messages.recv_timeout(wait).ok() };
             if message.is_some() {
-                self.shared.owner_queue.free_slots.post();
+                self.shared.owner_queue.free_slots.release();
             }
             self.step(message);
             self.take_host_changes();
