Messages front: begin nothing for a client that left with requests unread

Cause: four requests are read ahead. While the reader waits for a free place it does not see the close, and neither the next request nor a shot looked at the connection itself.

Change: the connection is looked at when a request's turn comes and right before a shot's first byte, as the node does; a shot that finds its client gone ends the task.

Measured: the new test of paths.rs fails before (one request sent on, 0.1 s allowed) and passes now, one run each; all of paths.rs passes.

Open: where a client has sent more than the receive buffer takes, its close arrives only once more has been read.

--- a/crates/dispatcher/src/front.rs
+++ b/crates/dispatcher/src/front.rs
@@ -45,6 +45,8 @@
     Bounced { ticket: u64, retry_after: Option<Duration> },
     /// The task is aborted: an attempt may have run.
     Aborted { ticket: u64 },
+    /// A shot noticed that the client has disconnected, and closed its task.
+    ClientGone { ticket: u64 },
 }
 
 /// State of the stream that a client receives.
@@ -79,6 +81,12 @@
     pub fn write(&self, bytes: &[u8]) -> Result<(), Fault> {
         self.link.write(bytes, Instant::now() + self.write_timeout)
     }
+
+    /// Whether the client has disconnected, even if its reader has not noticed yet: it may be behind, or wait for a free
+    /// place in the pipeline.
+    pub fn has_disconnected(&self) -> bool {
+        self.gone.load(Ordering::Acquire) || self.link.is_closed_by_peer()
+    }
 }
 
 /// Accepts client connections and starts their coroutines.
@@ -344,7 +352,8 @@
                 // A late message about a task that has been answered.
                 ConnectionMessage::Begun { .. }
                 | ConnectionMessage::Bounced { .. }
-                | ConnectionMessage::Aborted { .. } => true,
+                | ConnectionMessage::Aborted { .. }
+                | ConnectionMessage::ClientGone { .. } => true,
             };
             if !keep_open {
                 return;
@@ -496,6 +505,9 @@
 
     /// Answers `POST /v1/messages`: submits a task and sends its answer.
     fn handle_messages(&mut self, head: &RequestHead, body: &[u8], options: ResponseOptions) -> bool {
+        if self.client.has_disconnected() {
+            return false;
+        }
         let parsed = self.build_request(head, body);
         let rejection = parsed.as_ref().ok().and_then(|_| self.admission_error());
         let (call, request, idempotency_key) = match (parsed, rejection) {
@@ -524,7 +536,8 @@
         };
         let offering = request.offering as usize;
         let id = options.request_id.to_owned();
-        let task = Arc::new(Task::new(id, engine_request, request.clone(), ticket, self.sender.clone()));
+        let reply_to = (Arc::downgrade(&self.client), self.sender.clone());
+        let task = Arc::new(Task::new(id, engine_request, request.clone(), ticket, reply_to));
         let _active = ActiveTaskGuard(self.shared.clone());
         self.shared.owner_queue.send(OwnerMessage::Arrive(task.clone(), Box::new(request)));
         let form = relay::ResponseForm { streamed: call.stream, http10: head.http10 };
@@ -627,11 +640,15 @@
                     self.shared.owner_queue.send(OwnerMessage::ClientGone(task.clone()));
                     return ("client left", false);
                 }
+                ConnectionMessage::ClientGone { ticket } if ticket == task.ticket => {
+                    return ("client left", false);
+                }
                 // The task's answer is already on its way; writing it will fail as the client is gone.
                 ConnectionMessage::ClientLeft => self.deferred.push_back(ConnectionMessage::ClientLeft),
                 ConnectionMessage::Begun { .. }
                 | ConnectionMessage::Bounced { .. }
-                | ConnectionMessage::Aborted { .. } => {}
+                | ConnectionMessage::Aborted { .. }
+                | ConnectionMessage::ClientGone { .. } => {}
                 other => self.deferred.push_back(other),
             }
         }
@@ -729,8 +746,9 @@
             ..first.request.clone()
         };
         let engine_request = EngineRequest { text, max_tokens, resume, ..first.engine_request.clone() };
-        let (request_id, inbox) = (first.request_id.clone(), self.sender.clone());
-        let mut task = Task::new(request_id, engine_request, request.clone(), self.ticket, inbox);
+        let request_id = first.request_id.clone();
+        let reply_to = (Arc::downgrade(&self.client), self.sender.clone());
+        let mut task = Task::new(request_id, engine_request, request.clone(), self.ticket, reply_to);
         task.continues = Some(lost.clone());
         let task = Arc::new(task);
         self.shared.owner_queue.send(OwnerMessage::Arrive(task.clone(), Box::new(request)));
@@ -746,7 +764,11 @@
                 ConnectionMessage::Bounced { ticket, retry_after } if ticket == task.ticket => {
                     return Err(Some(retry_after.unwrap_or(Duration::from_millis(50))));
                 }
-                ConnectionMessage::Aborted { ticket } if ticket == task.ticket => return Err(None),
+                ConnectionMessage::Aborted { ticket } | ConnectionMessage::ClientGone { ticket }
+                    if ticket == task.ticket =>
+                {
+                    return Err(None);
+                }
                 ConnectionMessage::ClientLeft => {
                     if task.close() {
                         self.shared.owner_queue.send(OwnerMessage::ClientGone(task.clone()));
@@ -756,7 +778,8 @@
                 }
                 ConnectionMessage::Begun { .. }
                 | ConnectionMessage::Bounced { .. }
-                | ConnectionMessage::Aborted { .. } => {}
+                | ConnectionMessage::Aborted { .. }
+                | ConnectionMessage::ClientGone { .. } => {}
                 other => self.deferred.push_back(other),
             }
         }
--- a/crates/dispatcher/src/shot.rs
+++ b/crates/dispatcher/src/shot.rs
@@ -133,6 +133,16 @@
         }
     }
 
+    /// Whether the client has disconnected, read from its connection directly. If so the task is ended.
+    fn client_is_gone(&self) -> bool {
+        let gone = self.task.client_has_disconnected();
+        if gone && self.task.close() {
+            self.shared.owner_queue.send(OwnerMessage::ClientGone(self.task.clone()));
+            let _ = self.task.inbox.send(ConnectionMessage::ClientGone { ticket: self.task.ticket });
+        }
+        gone
+    }
+
     fn attempt(
         &self,
         endpoint: &Endpoint,
@@ -177,7 +187,7 @@
             &body,
         );
         check_sendable(())?;
-        if time_left(send_by).is_zero() {
+        if time_left(send_by).is_zero() || self.client_is_gone() {
             return Err(Outcome::Moot);
         }
         link.write(&request, send_by).map_err(|fault| match fault {
--- a/crates/dispatcher/src/task.rs
+++ b/crates/dispatcher/src/task.rs
@@ -1,9 +1,9 @@
 //! Tasks (one client request each) and their shots (one attempt at one host each), as shared by the coroutines. One
 //! atomic exchange decides which of them answers the client.
 
-use crate::front::ConnectionMessage;
+use crate::front::{Client, ConnectionMessage};
 use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 use tulipstall::interface::PossibleRun;
 use tulipstall_core::{TaskId, TaskRequest};
@@ -31,6 +31,8 @@
     pub request: TaskRequest,
     /// Number of this task on its connection. It tells messages about this task from late ones about an earlier task.
     pub ticket: u64,
+    /// A weak reference: the connection ends with its coroutines, whatever shots are still running.
+    client: Weak<Client>,
     pub inbox: Sender<ConnectionMessage>,
     /// The task whose lost answer this one continues.
     pub continues: Option<Arc<Task>>,
@@ -48,7 +50,7 @@
         engine_request: EngineRequest,
         request: TaskRequest,
         ticket: u64,
-        inbox: Sender<ConnectionMessage>,
+        (client, inbox): (Weak<Client>, Sender<ConnectionMessage>),
     ) -> Self {
         let arrived = Instant::now();
         Task {
@@ -59,6 +61,7 @@
             deadline: arrived + request.time_left,
             request,
             ticket,
+            client,
             inbox,
             continues: None,
             first_possible_run: Mutex::new(None),
@@ -67,6 +70,11 @@
         }
     }
 
+    /// Whether the client has disconnected, according to its connection.
+    pub fn client_has_disconnected(&self) -> bool {
+        self.client.upgrade().is_none_or(|client| client.has_disconnected())
+    }
+
     pub fn set_first_possible_run(&self, run: PossibleRun) {
         if let Ok(mut slot) = self.first_possible_run.lock() {
             *slot = Some(run);
@@ -185,8 +193,9 @@
         let close: Claim = Task::close;
         let (first, second): (Claim, Claim) = (|task| task.claim(0), |task| task.claim(1));
         for claims in [[close, first, second], [second, first, close], [first, close, second]] {
+            let reply_to = (Weak::new(), channel().0);
             let task =
-                Task::new("req_1".into(), EngineRequest::default(), TaskRequest::default(), 1, channel().0);
+                Task::new("req_1".into(), EngineRequest::default(), TaskRequest::default(), 1, reply_to);
             assert_eq!(claims.map(|claim| claim(&task)), [true, false, false]);
         }
     }
--- a/crates/rig/tests/paths.rs
+++ b/crates/rig/tests/paths.rs
@@ -28,7 +28,7 @@
     ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-fn ms(ms: u64) -> Duration {
+const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -517,6 +517,36 @@
     }
 }
 
+/// A client pipelines more requests than are read ahead and disconnects: its reader does not see the close, and none of the
+/// requests may be sent once it has been closed for a tenth of a second.
+#[test]
+fn requests_of_a_client_that_left_are_not_sent_on() {
+    const LIMIT: Duration = ms(100);
+    let _guard = run_alone();
+    let slow = Spec { token_ms: 20.0, ..host(Role::Write, 0) };
+    let fleet = fleet(&[host(Role::Read, 0), slow]);
+    let dispatcher = start(|_| {});
+    dispatcher.apply_host_list(&fleet.list());
+    let mut client = TcpStream::connect(dispatcher.address()).expect("a connection");
+    for number in 0..8 {
+        let mut plain = request("chat-reply", &format!("pipelined-{number}"));
+        plain.stream = false;
+        let text = post("/v1/messages", &[], &plain.body()).replace("connection: close\r\n", "");
+        client.write_all(text.as_bytes()).expect("written");
+    }
+    wait_for("the first request's writer", || {
+        events_of(&fleet.log.events(), "pipelined-0").contains(&&HostEventKind::Write)
+    });
+    drop(client);
+    let closed = fleet.log.now();
+    thread::sleep(ms(2000));
+    let begins = |kind: &HostEventKind| matches!(kind, HostEventKind::Read | HostEventKind::Write);
+    let events = fleet.log.events();
+    let is_late = |event: &&HostEvent| begins(&event.kind) && event.at > closed + LIMIT.as_micros() as u64;
+    let late: Vec<&HostEvent> = events.iter().filter(is_late).collect();
+    assert!(late.is_empty(), "sent after the close: {late:?}");
+}
+
 /// A client does not read: its writer is blocked, then its task ends. Other streams are not affected.
 #[test]
 fn a_client_that_does_not_read_holds_up_only_itself() {
