Messages front: wait for a slow event where no other writer may resume the answer

Change: an event that begins as events do and is not much longer than those before it is waited for, with the node's limits, where the answer cannot be resumed elsewhere; where it can, another writer is faster. The test of what may be slow and the limits stand once for both fronts (EventSizes in http1, slow_event_ends in recovery).

--- a/crates/dispatcher/src/relay.rs
+++ b/crates/dispatcher/src/relay.rs
@@ -17,6 +17,7 @@
 use tulipstall_messages::{AnswerWriter, ApiError, ErrorKind, TokenCounts, stop_reason};
 use tulipstall_net::Fault;
 use tulipstall_recovery::pace::{MoveReason, PaceMeans, StreamPace};
+use tulipstall_recovery::silence::slow_event_ends;
 use tulipstall_recovery::{self as recovery, PieceRejected, RepeatPolicy};
 use tulipstall_settings::Effect;
 
@@ -390,7 +391,7 @@
         self.head_sent = true;
         let first_token_at = *self.first_token_at.get_or_insert_with(Instant::now);
         // Bytes of an event that never ends are no progress, and a client that reads slowly is no silence of the host.
-        let mut last_progress = Instant::now();
+        let (mut last_progress, mut last_bytes) = (Instant::now(), Instant::now());
         loop {
             let has_pieces = !pieces.is_empty();
             for piece in pieces.drain(..) {
@@ -451,6 +452,10 @@
             let read_began = Instant::now();
             // If the host leaves the list during the wait, `Endpoint::set_standing` shortens it.
             let mut read_deadline = last_progress + stall_timeout;
+            // Another writer that may resume the answer is faster than an event that is written slowly.
+            if begun.events.has_slow_event() && !self.answer_so_far.may_resume(self.shared.now()) {
+                read_deadline = slow_event_ends(read_deadline, last_progress, last_bytes);
+            }
             if begun.endpoint.is_gone() {
                 read_deadline = read_deadline.min(read_began + GONE_STALL_TIMEOUT);
             }
@@ -470,6 +475,7 @@
                 Err(_) => return Ended::Lost("broken"),
             };
             longest_pause = longest_pause.max(read_began.elapsed());
+            last_bytes = Instant::now();
             if begun.events.feed(&bytes, &mut events).is_err() {
                 return Ended::Lost("rubbish");
             }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 use tulipstall::interface::Outcome;
+use tulipstall_http1::sse::EventSizes;
 use tulipstall_http1::{Limits, ResponseHead};
 
 const NOT_RUN_HEADER: &str = "x-turned-away";
@@ -91,14 +92,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed;
 
-/// Size up to which any event that is not complete may be one that is written slowly.
-const USUAL_EVENT_BYTES: usize = 256;
-
 /// Splits the bytes of a stream into whole events, unchanged; nothing else is passed on.
 #[derive(Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
-    largest_event_bytes: usize,
+    sizes: EventSizes,
     pub any_event: bool,
     /// The end marker has been received.
     pub end_marker_seen: bool,
@@ -116,7 +114,7 @@
             }
             self.end_marker_seen = event[5..].trim_ascii() == b"[DONE]";
             self.any_event = true;
-            self.largest_event_bytes = self.largest_event_bytes.max(event.len());
+            self.sizes.record(event.len());
             out.extend_from_slice(event);
             consumed += at + 2;
         }
@@ -125,13 +123,9 @@
         if self.partial.len() > MAX_EVENT_BYTES || !may_be_event { Err(Malformed) } else { Ok(()) }
     }
 
-    /// Whether part of an event has arrived that looks like one that is written slowly, and not like one without end: it
-    /// begins as events do, and is at most twice as long as any before it.
+    /// Whether part of an event has arrived that may be one that is written slowly.
     pub fn has_slow_event(&self) -> bool {
-        let max_bytes = USUAL_EVENT_BYTES.max(2 * self.largest_event_bytes);
-        let content = self.partial.strip_prefix(b"data:").map(<[u8]>::trim_ascii_start);
-        let may_be_usual = content.is_none_or(|content| matches!(content.first(), None | Some(b'{' | b'[')));
-        !self.partial.is_empty() && may_be_usual && self.partial.len() <= max_bytes
+        self.sizes.may_be_slow(&self.partial)
     }
 
     /// Whether a stream that has ended is complete.
--- a/crates/platform/src/timeouts.rs
+++ b/crates/platform/src/timeouts.rs
@@ -2,6 +2,7 @@
 //! these limits are for the bytes of one answer, which a host writes at once.
 
 use std::time::{Duration, Instant};
+use tulipstall_recovery::silence::slow_event_ends;
 
 /// From the first byte of an answer to the end of its head, and from there to its first event: bytes written
 /// at once arrive within a round trip, and a busy dispatcher may be paused for some 100 ms between the two.
@@ -18,13 +19,6 @@
 /// within a second.
 const STREAM_END_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long an event may take that arrives slowly: counted from the event before it.
-const SLOW_EVENT_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Longest pause between bytes of such an event once a silence would have ended: a host that stopped within an event must
-/// not hold its client for longer than any silent one may.
-const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(500);
-
 /// How far a stream has come.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamProgress {
@@ -46,8 +40,7 @@
         }
         let mut silence_ends = self.last_event + SILENCE_TIMEOUT;
         if let Some(bytes_at) = self.slow_event_bytes_at {
-            let slow_event_ends = (bytes_at + SLOW_EVENT_PAUSE).min(self.last_event + SLOW_EVENT_TIMEOUT);
-            silence_ends = silence_ends.max(slow_event_ends);
+            silence_ends = slow_event_ends(silence_ends, self.last_event, bytes_at);
         }
         let removal_ends =
             host_removed_at.map(|removed_at| self.last_event.max(removed_at) + REMOVED_HOST_SILENCE_TIMEOUT);
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -350,6 +350,16 @@
         self.state = if from == self.tokens { State::Streaming } else { State::Overlapping(from) };
     }
 
+    /// Whether another writer may resume the answer if the current one is given up at this time.
+    pub fn may_resume(&self, now: Duration) -> bool {
+        let may_repeat = match self.repeat {
+            RepeatPolicy::Always => true,
+            RepeatPolicy::Until(end) => now < end,
+            RepeatPolicy::Never => false,
+        };
+        may_repeat && self.is_held && self.losses < MAX_LOSSES
+    }
+
     /// Whether another writer may take over while this one still streams, so that two run at once. Returns the position at
     /// which the new writer starts and the maximum number of tokens that it may send.
     pub fn may_move(&self) -> Option<(u32, u32)> {
--- a/crates/recovery/src/silence.rs
+++ b/crates/recovery/src/silence.rs
@@ -2,7 +2,7 @@
 //! pause. Smoothed like retransmission time-outs (RFC 6298, section 2) by a mean and a mean deviation, here of the longest
 //! pause in each answer that was completed. No I/O and no clock: the caller passes durations.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Smoothing factors of RFC 6298: an eighth for the mean, a quarter for the deviation, and four deviations.
 const MEAN_GAIN: f64 = 0.125;
@@ -21,6 +21,19 @@
 /// Completed answers needed before the time-out is derived from them.
 const MIN_ANSWERS: u32 = 20;
 
+/// How long an event may take that arrives slowly: counted from the event before it.
+const SLOW_EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Longest pause between bytes of such an event once a silence would have ended: a host that stopped within an event must
+/// not hold its client for longer than any silent one may.
+const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(500);
+
+/// When a writer is given up within an event that arrives slowly, by the times of the event before it and of its last bytes.
+/// Never earlier than `silence_ends`, when a silent one would be.
+pub fn slow_event_ends(silence_ends: Instant, last_event: Instant, last_bytes: Instant) -> Instant {
+    silence_ends.max((last_bytes + SLOW_EVENT_PAUSE).min(last_event + SLOW_EVENT_TIMEOUT))
+}
+
 /// Estimates the time-out from the pauses in completed answers.
 #[derive(Debug, Default)]
 pub struct SilenceTimeout {
--- a/crates/rig/tests/paths.rs
+++ b/crates/rig/tests/paths.rs
@@ -443,6 +443,47 @@
     assert_eq!(requests.load(Ordering::SeqCst), 2);
 }
 
+/// Writes an event, then one byte by byte for 2 s, and ends the stream.
+fn write_slow_event(stream: &mut TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n");
+    let _ = stream.write_all(b"data: {\"choices\":[{\"text\":\"a\"}]}\n\n");
+    for byte in b"data: {\"choices\":[{\"text\":\"b\",\"finish_reason\":\"stop\"}]}\n\n" {
+        thread::sleep(ms(35));
+        if stream.write_all(&[*byte]).is_err() {
+            return;
+        }
+    }
+    let _ = stream.write_all(b"data: [DONE]\n\n");
+}
+
+/// Writes an event and then the text of one that never ends, for as long as it is read.
+fn write_endless_event(stream: &mut TcpStream) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n");
+    let _ = stream.write_all(b"data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: ");
+    while stream.write_all(b"x").is_ok() {
+        thread::sleep(ms(20));
+    }
+}
+
+/// No other writer may resume a single-use answer: an event that is written slowly is waited for, one without end is not.
+#[test]
+fn a_slow_event_of_an_answer_that_no_other_writer_may_resume_is_waited_for() {
+    let _guard = run_alone();
+    type Write = fn(&mut TcpStream);
+    let cases: [(Write, Answer, &str); 2] =
+        [(write_slow_event, Answer::Delivered, "ab"), (write_endless_event, Answer::BrokenOff, "a")];
+    for (number, (write, answer, text)) in cases.into_iter().enumerate() {
+        let dispatcher = start(|settings| settings.times.writer_stall_ms = 700);
+        let mixed = line(start_peer(write).0, "mixed", HostStanding::Running);
+        dispatcher.apply_host_list(&HostList { version: 1, whole: true, hosts: vec![mixed] });
+        let response =
+            send_to(&dispatcher, request("seat-change", &format!("slow{number}")), ClientOptions::default());
+        assert_eq!((response.answer, response.text.as_str()), (answer, text), "{number}");
+        assert!(response.took < ms(4000), "{number}: {:?}", response.took);
+    }
+}
+
 /// A host begins to drain while a request waits for a connection to it: nothing is written to the host.
 #[test]
 fn nothing_is_written_to_a_host_that_drains_meanwhile() {
