Resume a few busy sockets after each poll, and let streams that are not busy go on

Seen: with 180 clients at full speed (bodies in chunks of one byte) socket events wait for up to 93 ms and events of streams come up to 69 ms late; a process with a small part of a core would see a multiple of that, 0.3 s are allowed.

Cause: after each poll all sockets that have used up their turn are resumed, however many there are; a stream that has passed on 40 events, in seconds, waits behind all of them.

Change: a round resumes 16, in their order. The measurement of waits goes ahead of the others, so that it still tells what a socket event waits.

Echoes beside busy sockets pass with one and two workers.

--- a/crates/net/src/poll_round.rs
+++ b/crates/net/src/poll_round.rs
@@ -9,6 +9,7 @@
 use may::coroutine::is_coroutine;
 use may::io::CoIo;
 use nix::sys::eventfd::{EfdFlags, EventFd};
+use std::collections::VecDeque;
 use std::io;
 use std::os::fd::AsRawFd;
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
@@ -17,15 +18,28 @@
 /// Wait that stands in for a round where the process could not get event descriptors at its start.
 const FALLBACK_WAIT: Duration = Duration::from_millis(1);
 
+/// Coroutines that one round resumes. Further ones wait for later rounds, in their order, so that socket events wait for a
+/// few turns however many sockets are busy.
+const MAX_RESUMED: usize = 16;
+
 /// Suspends the calling coroutine until each worker has run the coroutines that are ready and has polled for socket events
-/// after that. Does nothing outside of coroutines.
+/// after that, and until those that came before it have been resumed. Does nothing outside of coroutines.
+pub fn wait_for_turn() {
+    wait_for_round(PollRounds::join_last);
+}
+
+/// As [`wait_for_turn`], ahead of all that wait for their turn: waits for as long as socket events do.
 pub fn wait_for_poll() {
+    wait_for_round(PollRounds::join_first);
+}
+
+fn wait_for_round(join: fn(&PollRounds, Waiter)) {
     if !is_coroutine() {
         return;
     }
     let Some(rounds) = poll_rounds() else { return crate::sleep(FALLBACK_WAIT) };
     let waiter = Waiter::current();
-    rounds.join_next(waiter.clone());
+    join(rounds, waiter.clone());
     waiter.wait();
 }
 
@@ -40,8 +54,8 @@
     awaited: Vec<bool>,
     /// Coroutines that the end of the round in progress resumes.
     current: Vec<Waiter>,
-    /// Coroutines that came during that round, after the poll of some worker perhaps: they wait for the next one.
-    next: Vec<Waiter>,
+    /// Coroutines that came during that round, after the poll of some worker perhaps, or are too many for it.
+    next: VecDeque<Waiter>,
 }
 
 fn poll_rounds() -> Option<&'static PollRounds> {
@@ -73,7 +87,7 @@
     fn new(workers: usize) -> io::Result<Self> {
         let events = event_of_each_worker(workers)?;
         let poll_events = events.into_iter().map(CoIo::new).collect::<Result<_, _>>()?;
-        let state = State { awaited: vec![false; workers], current: Vec::new(), next: Vec::new() };
+        let state = State { awaited: vec![false; workers], current: Vec::new(), next: VecDeque::new() };
         Ok(PollRounds { poll_events, state: Mutex::new(state) })
     }
 
@@ -82,10 +96,17 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds a coroutine to the next round, and begins that if none is in progress.
-    fn join_next(&self, waiter: Waiter) {
+    /// Adds a coroutine behind all that wait for a round, and begins one if none is in progress.
+    fn join_last(&self, waiter: Waiter) {
         let mut state = self.lock();
-        state.next.push(waiter);
+        state.next.push_back(waiter);
+        self.begin_if_due(&mut state);
+    }
+
+    /// As [`PollRounds::join_last`], ahead of them.
+    fn join_first(&self, waiter: Waiter) {
+        let mut state = self.lock();
+        state.next.push_front(waiter);
         self.begin_if_due(&mut state);
     }
 
@@ -94,7 +115,8 @@
         if state.next.is_empty() || state.awaited.contains(&true) {
             return;
         }
-        state.current = std::mem::take(&mut state.next);
+        let resumed = state.next.len().min(MAX_RESUMED);
+        state.current = state.next.drain(..resumed).collect();
         state.awaited.fill(true);
         for event in &self.poll_events {
             // The counter never overflows, and each write is an event, as it is never read.
@@ -122,3 +144,6 @@
         resumed
     }
 }
+
+#[cfg(test)]
+mod tests;
