Let 256 connections wait to be accepted, so that crowds drop nobody's SYN

Cause: the standard library asks for a queue of 128, and accepting takes ten connections a turn.

Change: a queue of 256. A listener that drains looks 288 times, more often than the queue holds connections.

--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -3,15 +3,18 @@
 use crate::polled_socket::PolledSocket;
 use crate::turn::Turn;
 use crate::{Link, errors, watch};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-/// How often a listener that drains still looks for a connection: more often than the system's queue holds connections (128 by
-/// the standard library), which are served in order. Further ones came later, perhaps from clients that were closed.
-const MAX_DRAINING_ACCEPTS: usize = 256;
+/// Connections that the system accepts ahead. A client whose connection finds no room tries again a second later.
+const ACCEPT_QUEUE: i32 = 256;
+
+/// How often a listener that drains still looks for a connection: more often than the system's queue holds connections, which
+/// are served in order. Further ones came later, perhaps from clients that were closed.
+const MAX_DRAINING_ACCEPTS: usize = ACCEPT_QUEUE as usize + 32;
 
 /// A listening socket.
 pub struct Listener {
@@ -26,7 +29,12 @@
 
 impl Listener {
     pub fn bind(address: SocketAddr) -> io::Result<Listener> {
-        let io = PolledSocket::new(TcpListener::bind(address)?)?;
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        // A restarted process can bind the address while connections of the one before still end.
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(ACCEPT_QUEUE)?;
+        let io = PolledSocket::new(TcpListener::from(socket))?;
         let (draining, closed) = (AtomicBool::new(false), AtomicBool::new(false));
         Ok(Listener { io, draining, draining_accepts: AtomicUsize::new(0), closed, turn: Turn::default() })
     }
--- a/crates/net/tests/waits.rs
+++ b/crates/net/tests/waits.rs
@@ -159,3 +159,14 @@
     let took = closed.expect("it does not close").saturating_duration_since(started);
     assert!(took < Duration::from_millis(500), "{took:?}");
 }
+
+/// A crowd that connects while the process does not run waits in the queue: a client that finds it full connects a second later.
+#[test]
+fn a_crowd_connects_while_nobody_accepts() {
+    const CROWD: usize = 250;
+    let listener = Listener::bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connect = |_| TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok();
+    let connected: Vec<TcpStream> = (0..CROWD).filter_map(connect).collect();
+    assert_eq!(connected.len(), CROWD);
+}
