--- a/crates/dispatcher/src/front.rs
+++ b/crates/dispatcher/src/front.rs
@@ -6,8 +6,7 @@
 use crate::shot::BegunAnswer;
 use crate::task::Task;
 use crate::{Shared, relay};
-use std::collections::{BTreeMap, VecDeque};
-use std::net::IpAddr;
+use std::collections::VecDeque;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
@@ -18,7 +17,7 @@
 use tulipstall_messages::{self as messages, ApiError, ErrorKind, MessageRequest, estimate_tokens};
 use tulipstall_net::channel::{Receiver, Sender, channel};
 use tulipstall_net::sync::{Mutex, Semaphore};
-use tulipstall_net::{Fault, Link, Listener, READ_BUFFER_BYTES, spawn};
+use tulipstall_net::{Fault, Link, READ_BUFFER_BYTES, spawn};
 use tulipstall_recovery::budget::{RecoveryRequest, Verdict};
 use tulipstall_recovery::{AfterLoss, ResumableAnswer};
 use tulipstall_settings::{Effect, Group};
@@ -26,9 +25,6 @@
 /// Maximum number of pipelined requests that are read ahead on one connection.
 const MAX_PIPELINED_REQUESTS: usize = 4;
 
-/// Pause after a connection was refused: clients that connect again at once must not take all the time of a worker.
-const REFUSED_CONNECTION_PAUSE: Duration = Duration::from_millis(1);
-
 /// A message to a connection's answering coroutine.
 pub enum ConnectionMessage {
     /// A complete request with its body.
@@ -89,41 +85,6 @@
     }
 }
 
-/// Accepts client connections and starts their coroutines.
-pub fn start(shared: Arc<Shared>, listener: Listener) {
-    let address_counts: Arc<std::sync::Mutex<BTreeMap<IpAddr, usize>>> = Arc::default();
-    spawn(move || {
-        loop {
-            let Ok((link, peer)) = listener.accept() else {
-                // Most likely out of file descriptors: wait until some are closed.
-                tulipstall_net::sleep(Duration::from_millis(10));
-                continue;
-            };
-            let (shared, address_counts, ip) = (shared.clone(), address_counts.clone(), peer.ip());
-            let limits = &shared.settings.limits;
-            let open_connections = shared.connections.fetch_add(1, Ordering::SeqCst);
-            let connections_from_address = address_counts.lock().map_or(0, |mut address_counts| {
-                let count = address_counts.entry(ip).or_insert(0);
-                *count += 1;
-                *count
-            });
-            if open_connections >= limits.connections
-                || connections_from_address > limits.connections_per_address
-            {
-                refuse_connection(&shared, &link);
-                release_connection(&shared, &address_counts, ip);
-                tulipstall_net::sleep(REFUSED_CONNECTION_PAUSE);
-                continue;
-            }
-            spawn(move || {
-                // The guard also counts the connection out if its coroutine panics.
-                let _guard = ConnectionGuard { shared: shared.clone(), address_counts, ip };
-                serve_connection(&shared, link);
-            });
-        }
-    });
-}
-
 /// Starts the coroutine that sends a ping on every begun stream that has been silent for `ping_ms`.
 pub fn start_pings(shared: Arc<Shared>) {
     let interval = Duration::from_millis(shared.settings.times.ping_ms);
@@ -155,48 +116,6 @@
     });
 }
 
-/// Answers a connection beyond the limits with an overload error.
-fn refuse_connection(shared: &Shared, link: &Link) {
-    let error = ApiError::new(ErrorKind::Overloaded, "too many connections");
-    let retry_after = Some(Duration::from_millis(500));
-    let options = ResponseOptions { should_retry: Some(true), retry_after, ..ResponseOptions::default() };
-    shared.metrics.refused.with_label_values(&["529"]).inc();
-    // The accept loop must not wait for a slow client: what the socket does not take at once is dropped.
-    let _ = link.write(&reply::error(&error, options), Instant::now() + Duration::from_millis(2));
-    link.shut();
-}
-
-/// Subtracts a closed connection from the counts.
-fn release_connection(
-    shared: &Shared,
-    address_counts: &std::sync::Mutex<BTreeMap<IpAddr, usize>>,
-    ip: IpAddr,
-) {
-    shared.connections.fetch_sub(1, Ordering::SeqCst);
-    if let Ok(mut address_counts) = address_counts.lock()
-        && let Some(count) = address_counts.get_mut(&ip)
-    {
-        *count -= 1;
-        if *count == 0 {
-            address_counts.remove(&ip);
-        }
-    }
-}
-
-/// Counts a connection out when dropped.
-struct ConnectionGuard {
-    shared: Arc<Shared>,
-    /// Open connections by client address.
-    address_counts: Arc<std::sync::Mutex<BTreeMap<IpAddr, usize>>>,
-    ip: IpAddr,
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        release_connection(&self.shared, &self.address_counts, self.ip);
-    }
-}
-
 /// The configured size limits of requests.
 pub fn http_limits(shared: &Shared) -> Limits {
     let limits = &shared.settings.limits;
@@ -265,7 +184,7 @@
 }
 
 /// Starts the reading coroutine of a connection and answers its requests in this one.
-fn serve_connection(shared: &Arc<Shared>, link: Link) {
+pub fn serve_connection(shared: &Arc<Shared>, link: Link) {
     let (sender, inbox) = channel();
     let client = Arc::new(Client {
         link,
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -1,6 +1,7 @@
 //! The running dispatcher: clients call its messages API, and it calls two-stage engines (prefill and decode). It feeds
 //! events to [`tulipstall_core::Core`] and carries out the actions that the core returns; all decisions are the core's.
 
+mod accept;
 mod control;
 mod front;
 mod hosts;
@@ -183,7 +184,7 @@
             control::start(shared.clone(), listener);
         }
         front::start_pings(shared.clone());
-        front::start(shared.clone(), listener);
+        accept::start(shared.clone(), listener);
         tracing::info!(%address, control = control.map(tracing::field::display), "listening");
         Ok(Dispatcher { shared, address, control })
     }
