--- a/crates/cli/tests/impatient_clients.rs
+++ b/crates/cli/tests/impatient_clients.rs
@@ -6,9 +6,10 @@
 mod running;
 
 use platform::*;
+use running::answer;
 use running::limited::{BAD_CLIENTS, LimitedNode, is_served, last_request_of, request_of};
 use running::ms;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, PoisonError};
@@ -40,22 +41,6 @@
     body_bytes: usize,
 }
 
-/// Reads one answer; returns whether the connection can be used again.
-fn read_answer(stream: &mut TcpStream) -> bool {
-    let (mut answer, mut buffer) = (Vec::new(), [0; 4096]);
-    loop {
-        match stream.read(&mut buffer) {
-            Ok(got) if got > 0 => answer.extend_from_slice(&buffer[..got]),
-            _ => return false,
-        }
-        let is_stream = answer.starts_with(b"HTTP/1.1 200");
-        let is_whole = if is_stream { answer.ends_with(b"0\r\n\r\n") } else { answer.ends_with(b"\"}") };
-        if is_whole {
-            return !String::from_utf8_lossy(&answer).contains("Connection: close");
-        }
-    }
-}
-
 fn start_impatient_clients(
     address: SocketAddr,
     behaviour: Behaviour,
@@ -79,7 +64,10 @@
                             thread::sleep(after);
                             goes_on = false;
                         }
-                        None => goes_on &= read_answer(&mut stream) && behaviour.keeps_connection,
+                        None => {
+                            goes_on &= answer::read(&mut stream).is_ok_and(|answer| answer.keeps_open)
+                                && behaviour.keeps_connection
+                        }
                     }
                 }
             }
--- a/crates/cli/tests/running/flood.rs
+++ b/crates/cli/tests/running/flood.rs
@@ -2,6 +2,7 @@
 //! would share the processor time of the clients whose answers are timed.
 #![allow(dead_code)] // each test file uses a part of this module
 
+use crate::running::answer;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -203,27 +204,6 @@
     )
 }
 
-/// Reads one answer; returns whether the connection can be used again.
-fn read_answer(stream: &mut TcpStream) -> bool {
-    let (mut answer, mut buffer) = (Vec::new(), [0; 4096]);
-    loop {
-        match stream.read(&mut buffer) {
-            Ok(got) if got > 0 => answer.extend_from_slice(&buffer[..got]),
-            _ => return false,
-        }
-        let text = String::from_utf8_lossy(&answer);
-        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-        let length = head.split("Content-Length: ").nth(1).and_then(|rest| rest.lines().next());
-        let is_whole = match length.and_then(|length| length.trim().parse::<usize>().ok()) {
-            Some(length) => body.len() >= length,
-            None => body.ends_with("0\r\n\r\n"),
-        };
-        if is_whole {
-            return !head.contains("Connection: close");
-        }
-    }
-}
-
 fn flood_as_client(flood: Flood, until: Instant, address: SocketAddr, connection: usize) {
     let mut number = 0;
     while Instant::now() < until {
@@ -234,7 +214,10 @@
             loop {
                 number += 1;
                 let sent = stream.write_all(text(number).as_bytes()).is_ok();
-                if !sent || !read_answer(&mut stream) || Instant::now() >= until {
+                if !sent
+                    || !answer::read(&mut stream).is_ok_and(|answer| answer.keeps_open)
+                    || Instant::now() >= until
+                {
                     break;
                 }
             }
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the program as the platform does: as a process with a configuration file, signals and an exit status.
 #![allow(dead_code)] // each test file uses a part of this module
 
+pub mod answer;
 pub mod flood;
 pub mod kept_client;
 pub mod late;
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -8,8 +8,9 @@
 mod running;
 
 use platform::*;
+use running::answer::NoAnswer;
 use running::flood::{Flood, FloodProcess, run_if_flooding_peer};
-use running::kept_client::{self, End, Exchange};
+use running::kept_client::{self, Exchange};
 use running::late::{Lateness, latest, start_timed_streams};
 use running::limited::LimitedNode;
 use running::ms;
@@ -146,14 +147,14 @@
     let took = exchange.ended - exchange.sent;
     match exchange.end {
         // The time to the end of a stream includes the pauses of its host.
-        End::Answered(_) if took > TIME_LEFT + LATE + ms(800) => Some("answered late"),
-        End::Answered(_) => None,
-        End::Cut => Some("cut off"),
-        End::Silent => Some("not answered"),
-        End::Closed if exchange.ended >= killed => Some("unanswered at the kill"),
-        End::Closed if runs.contains_key(&exchange.id) => Some("taken and closed unanswered"),
+        Ok(_) if took > TIME_LEFT + LATE + ms(800) => Some("answered late"),
+        Ok(_) => None,
+        Err(NoAnswer::Cut) => Some("cut off"),
+        Err(NoAnswer::Silent) => Some("not answered"),
+        Err(NoAnswer::Closed) if exchange.ended >= killed => Some("unanswered at the kill"),
+        Err(NoAnswer::Closed) if runs.contains_key(&exchange.id) => Some("taken and closed unanswered"),
         // Closed between requests: its client sends the request once more.
-        End::Closed => None,
+        Err(NoAnswer::Closed) => None,
     }
 }
 
@@ -234,9 +235,10 @@
     if !(1..=MEMORY_MB * 1024).contains(&highest_kib) {
         faults.push(format!("memory: {highest_kib} KiB"));
     }
-    let answered = exchanges.iter().filter(|exchange| matches!(exchange.end, End::Answered(_))).count();
-    let served = exchanges.iter().filter(|exchange| exchange.end == End::Answered(200)).count();
-    let closed = |exchange: &&Exchange| exchange.end == End::Closed && exchange.ended < stopped;
+    let answered = exchanges.iter().filter(|exchange| exchange.end.is_ok()).count();
+    let served =
+        exchanges.iter().filter(|exchange| exchange.end.is_ok_and(|answer| answer.status == 200)).count();
+    let closed = |exchange: &&Exchange| exchange.end == Err(NoAnswer::Closed) && exchange.ended < stopped;
     let closed = exchanges.iter().filter(closed).count();
     eprintln!(
         "seed {seed}: {plan:?}: {} sent, {answered} answered, {served} served, {closed} closed unread before the stop, {streams}, highest {highest_kib} KiB, \
