Take a turn for slow only if its socket was waited for

Found by reading: where a process gets so little of a core that a turn at full speed lasts for 50 ms, a flooding socket counted as slow and never waited for others.

Change: a turn is slow if it lasted for 50 ms and its socket was waited for in it; one that is always ready is never waited for.

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -248,6 +248,7 @@
                         self.set_read_deadline(until);
                         deadline().into_iter().for_each(|until| self.shorten_read_deadline(until));
                     }
+                    turn.note_wait();
                     stream.wait();
                     self.set_read_deadline(None);
                 }
@@ -306,6 +307,7 @@
             .get_or_init(|| self.inner.stream.inner().try_clone().and_then(PolledSocket::new).ok());
         let Some(write_socket) = write_socket else { return Err(io::ErrorKind::NotConnected.into()) };
         loop {
+            self.inner.write_turn.note_wait();
             write_socket.wait();
             match write_socket.inner().write(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock && !self.inner.is_shut() => {}
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -64,7 +64,10 @@
                     self.turn.end_if_used_up();
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock && draining => self.close(),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.io.wait(),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.turn.note_wait();
+                    self.io.wait();
+                }
                 Err(error) => return Err(error),
             }
         }
