Log each failed request to a registry that is asked, its pause and the age of the list

Cause: only the first failure was logged, so that the log could not tell a long pause from a request that hangs or a list that is refused as old.

Change: one line for each failed request where the registry backs off: what was asked for, why it failed, the pause that follows and the age of the last list. A local agent is asked many times a second: there only the first failure is logged.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -33,6 +33,22 @@
     rejections: u32,
     /// Consecutive first requests of a watch that timed out.
     first_timeouts: u32,
+    /// The last request.
+    request: RequestKind,
+    /// When the last list was received, since the start of the process.
+    list_received_at: Duration,
+}
+
+/// What a request to the registry asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum RequestKind {
+    /// The whole list.
+    #[default]
+    List,
+    /// The changes since a version of an earlier connection.
+    Resume,
+    /// The changes since the last answer.
+    Watch,
 }
 
 /// Why a request to the registry failed.
@@ -67,9 +83,13 @@
                     pause = timeouts.pause_after_rejections(state.rejections, shared.hosts.random_fraction());
                     state.rejections += 1;
                 }
-                // There may be many failures a second while the registry is away: only the first is logged.
-                if !std::mem::replace(&mut state.failing, true) {
-                    tracing::warn!(registry = %address, why, "the registry does not answer");
+                let is_first = !std::mem::replace(&mut state.failing, true);
+                // A local agent that is away fails many requests a second: only the first is logged.
+                if is_first || timeouts.backs_off() {
+                    let request = state.request;
+                    let pause_ms = pause.as_millis() as u64;
+                    let list_age_ms = shared.now().saturating_sub(state.list_received_at).as_millis() as u64;
+                    tracing::warn!(registry = %address, ?request, why, pause_ms, list_age_ms, "request to the registry failed");
                 }
             }
             if lock(&shared.registry).0 == address {
@@ -149,6 +169,11 @@
             None => (resume_from, first_time_left + resume_from.map_or(Duration::ZERO, |(_, wait)| wait)),
             Some(seq) => (Some((seq, timeouts.watch_wait)), timeouts.watch_wait + timeouts.watch_slack),
         };
+        state.request = match (watched_seq, newer_than) {
+            (Some(_), _) => RequestKind::Watch,
+            (None, Some(_)) => RequestKind::Resume,
+            (None, None) => RequestKind::List,
+        };
         let list =
             match send_request(&mut link, &list_request(address, newer_than), within, timeouts.answer_rest) {
                 Ok(list) => list,
@@ -188,6 +213,7 @@
         }
         (watched_seq, state.list_seq) = (Some(list.seq), Some(list.seq));
         (state.rejections, state.first_timeouts) = (0, 0);
+        state.list_received_at = shared.now();
         shared.list_received.store(true, Ordering::Release);
     }
 }
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Whether a registry that fails requests is asked less and less often.
+    pub fn backs_off(&self) -> bool {
+        self.max_rejected_pause > self.retry_pause
+    }
+
     /// Limit for the start of an answer after this many consecutive time-outs: a busy registry takes longer,
     /// and each abandoned request adds to its load.
     pub fn answer_start_after_timeouts(&self, times: u32) -> Duration {
