--- a/crates/platform/src/registry/tests.rs
+++ b/crates/platform/src/registry/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use tulipstall::interface::ConfigValue;
+use std::time::Duration;
+use tulipstall::interface::{Config, ConfigValue};
 
 /// A request sent just before the registry is back stays unanswered: the next try has to come within the
 /// grace.
