Time requests to the registry by one deadline for reading a change

Cause: the pause after refusals doubled up to 6 s and was then multiplied by 0.5 to 1.5, whatever time was left until a change counts as told, 6 s after the refusal. The limits for connecting and answering knew of no deadline either: a request that hangs after a long pause, or a slow one, broke it as well, and so did an answer whose time was doubled by time-outs.

Change: RequestSchedule (platform) has one deadline: 6 s less 0.35 s after the last list, or after the start of the last refused request, and 4 s less 0.35 s after a new configuration. Each pause leaves time for one request that hangs and one that is answered, each limit for one more request; what a slow registry takes is counted. Where every request of a whole deadline has failed it is dropped. Refused dispatchers still back off, at random times within the deadline. Following the registry is one type with short functions now.

Why it works: every failure passes through RequestSchedule::failed, so that no path has a pause or limit of its own.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 use hosts::Hosts;
 use memory::RequestMemory;
 use owner::OwnerMessage;
+use registry::RegistryAddress;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
@@ -31,8 +32,8 @@
 use std::time::{Duration, Instant};
 use std::{fs, io, thread};
 use tulipstall_core::Core;
+use tulipstall_net::Listener;
 use tulipstall_net::sync::Semaphore;
-use tulipstall_net::{Link, Listener};
 use tulipstall_platform::call::Catalog;
 use tulipstall_platform::ids::RequestIds;
 use tulipstall_platform::memory_budget::MemoryBudget;
@@ -92,8 +93,7 @@
     clients: client::Clients,
     /// Outcomes of reused pooled connections. Locked only for moments.
     reuse_history: Mutex<ReuseHistory>,
-    /// The registry's address and the connection to it.
-    registry: Mutex<(SocketAddr, Option<Link>)>,
+    registry: RegistryAddress,
     /// The registry has answered with a list since the start.
     list_received: AtomicBool,
 }
@@ -188,7 +188,7 @@
             ids: Mutex::new(RequestIds::new(id_retention)),
             clients: client::Clients::default(),
             reuse_history: Mutex::default(),
-            registry: Mutex::new((start.discovery, None)),
+            registry: RegistryAddress::new(start.discovery),
             list_received: AtomicBool::new(false),
         });
         let mut core = Core::new(start.seed, start.config.clone());
@@ -212,9 +212,10 @@
         self.address
     }
 
-    /// Sets the address of the registry after it has moved.
-    pub fn set_registry_address(&self, registry: SocketAddr) {
-        registry::set_address(&self.shared, registry);
+    /// Sets the address of the registry as a new configuration names it, which was announced at `announced_at`.
+    pub fn set_registry_address(&self, registry: SocketAddr, announced_at: Instant) {
+        let since_start = announced_at.saturating_duration_since(self.shared.start);
+        self.shared.registry.set(registry, since_start);
     }
 
     /// Stops accepting requests, and returns once all that were accepted are answered.
@@ -294,18 +295,18 @@
 /// time limit.
 fn reload_on_request(node: &Node, config: &Path, reload: &mpsc::Receiver<()>) {
     while reload.recv().is_ok() {
-        let mut until = Instant::now() + RELOAD_WINDOW;
-        while Instant::now() < until {
+        let mut announced_at = Instant::now();
+        while announced_at.elapsed() < RELOAD_WINDOW {
             match read_config(config) {
                 Ok(start) => {
                     tracing::info!(registry = %start.discovery, "configuration reloaded");
-                    node.set_registry_address(start.discovery);
+                    node.set_registry_address(start.discovery, announced_at);
                     break;
                 }
                 Err(why) => tracing::warn!(why, "configuration rejected"),
             }
             if reload.recv_timeout(Duration::from_millis(50)).is_ok() {
-                until = Instant::now() + RELOAD_WINDOW;
+                announced_at = Instant::now();
             }
         }
     }
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -351,6 +351,30 @@
     FirstList,
     /// Sends an interim response, and 0.6 s later the answer.
     InterimFirst,
+    /// Refuses the request at once, whether or not it asks for a wait.
+    Refusal(Refusal),
+    /// Answers after this many milliseconds.
+    DelayMs(u64),
+}
+
+/// A response that refuses a request to the registry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    pub status: u16,
+    pub retry_after_s: Option<u32>,
+    pub delay_ms: u64,
+}
+
+impl Refusal {
+    pub fn with_status(status: u16) -> Refusal {
+        Refusal { status, retry_after_s: None, delay_ms: 0 }
+    }
+
+    fn response(self) -> String {
+        let retry_after =
+            self.retry_after_s.map_or(String::new(), |seconds| format!("Retry-After: {seconds}\r\n"));
+        format!("HTTP/1.1 {} Refused\r\n{retry_after}Content-Length: 0\r\n\r\n", self.status)
+    }
 }
 
 /// A simulated registry. It serves one list of hosts, complete or as the changes since a version.
@@ -363,6 +387,8 @@
     pub state: Arc<(Mutex<Vec<String>>, Condvar)>,
     /// Faults of the next answers, first entry first.
     pub script: Arc<Mutex<VecDeque<RegistryFault>>>,
+    /// When the last scripted refusal was sent.
+    pub last_refusal: Arc<Mutex<Option<Instant>>>,
     /// New calls that it accepts within any one second. Further calls are refused and count as well. A request that
     /// continues a watch on the same connection is not a new call.
     pub max_new_calls_per_s: Arc<AtomicUsize>,
@@ -377,6 +403,7 @@
             address: listener.local_addr().expect("an address"),
             down: Arc::default(),
             script: Arc::default(),
+            last_refusal: Arc::default(),
             max_new_calls_per_s: Arc::new(AtomicUsize::new(usize::MAX)),
             new_calls: Arc::default(),
             state: Arc::new((
@@ -407,6 +434,14 @@
         accepted
     }
 
+    /// The scripted refusal, if one is next.
+    fn take_refusal(&self) -> Option<Refusal> {
+        let mut script = self.script.lock().expect("no panic");
+        let Some(RegistryFault::Refusal(refusal)) = script.front().copied() else { return None };
+        script.pop_front();
+        Some(refusal)
+    }
+
     pub fn serve(&self, mut stream: TcpStream) {
         let mut reader = RequestReader::new(Limits::default());
         let mut buffer = [0; 4096];
@@ -423,6 +458,14 @@
                         let _ = stream.write_all(refusal.as_bytes());
                         return;
                     }
+                    if let Some(refusal) = self.take_refusal() {
+                        thread::sleep(Duration::from_millis(refusal.delay_ms));
+                        *self.last_refusal.lock().expect("no panic") = Some(Instant::now());
+                        if stream.write_all(refusal.response().as_bytes()).is_err() {
+                            return;
+                        }
+                        continue;
+                    }
                     let (versions, changed) = &*self.state;
                     let mut versions = versions.lock().expect("no panic");
                     let body = match after {
@@ -445,7 +488,16 @@
                     }
                     let fault = self.script.lock().expect("no panic").pop_front();
                     let body = match fault {
+                        // A refusal was scripted while the request waited: it concerns the next one.
+                        Some(refusal @ RegistryFault::Refusal(_)) => {
+                            self.script.lock().expect("no panic").push_front(refusal);
+                            body
+                        }
                         None => body,
+                        Some(RegistryFault::DelayMs(span)) => {
+                            thread::sleep(Duration::from_millis(span));
+                            body
+                        }
                         Some(RegistryFault::NoAnswer) => continue,
                         Some(RegistryFault::Disconnect) => return,
                         Some(RegistryFault::InterimFirst) => {
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -278,7 +278,7 @@
     let address = p.node.address();
     let w3 = Host::start("w3", &Script::default());
     let registry = Registry::start(&[&p.r1, &w3]);
-    p.node.set_registry_address(registry.address);
+    p.node.set_registry_address(registry.address, Instant::now());
     let give_up_at = Instant::now() + Duration::from_secs(2);
     while w3.calls().is_empty() {
         assert!(Instant::now() < give_up_at, "the list of the new registry is not applied");
