End the pause before the next request when the registry moves

Cause: the pause after a refused request was a sleep that nothing ends. Setting the address shut the connection to the old registry, but there is none during the pause; and two moves within a pause that lead back went unnoticed.

Change: Notify (net) is a sleep that ends early; each new configuration ends the pause. Moves are counted, so that one that leads back is one too.

Why it works: the pause is the one wait for the registry that no connection's end could end; the deadline of 4 s from the signal bounds all that follows.

Tests: a_moved_registry_is_asked_in_time_whatever_the_old_one_does (16 plays: pause, hanging call, connections that never come up, back and forth; a new registry that answers, refuses, hangs, refuses slowly and hangs) failed before and passes; the case by SIGHUP failed before and passes.

--- a/crates/cli/tests/signals.rs
+++ b/crates/cli/tests/signals.rs
@@ -107,6 +107,8 @@
         BackAndForth,
         /// The old registry has just stopped answering, with a watch open.
         OldRegistrySilent,
+        /// Lists are requested, and the old registry has refused requests: the next one is due seconds later.
+        OldRegistryRefuses,
         /// The new registry answers only this many milliseconds later.
         NewRegistryDown(u64),
         /// A stop is in progress, with unanswered requests.
@@ -120,6 +122,7 @@
             WrittenInParts(3000),
             BackAndForth,
             OldRegistrySilent,
+            OldRegistryRefuses,
             NewRegistryDown(1500),
             Stop,
         ];
@@ -128,7 +131,14 @@
                 let (r1, w1, w2) = hosts();
                 let registry = Registry::start(&[&r1, &w1, &w2]);
                 let new_registry = Registry::start(&[&r1, &w1, &w2]);
-                let mut process = NodeProcess::start(&format!("moves{i}"), &registry, 256).wait_ready();
+                let settings = |config: &str| match concurrent {
+                    OldRegistryRefuses => {
+                        config.replace("\"settings\":{", "\"settings\":{\"RegistryMode\":\"on_request\",")
+                    }
+                    _ => config.to_owned(),
+                };
+                let process = NodeProcess::start_with(&format!("moves{i}"), &registry, 256, settings);
+                let mut process = process.wait_ready();
                 let serve = |id: &str| {
                     let answer = exchange(process.address, &request_text(id, CLOSE));
                     assert!(is_complete_stream(&answer, id), "{concurrent:?}: {answer}");
@@ -165,6 +175,16 @@
                         registry.down.store(true, Ordering::SeqCst);
                         write_and_reload(&new_config);
                     }
+                    OldRegistryRefuses => {
+                        let refusals = [RegistryFault::Refusal(Refusal::with_status(503)); 5];
+                        registry.script.lock().expect("no panic").extend(refusals);
+                        while !registry.script.lock().expect("no panic").is_empty() {
+                            thread::sleep(ms(10));
+                        }
+                        thread::sleep(ms(300));
+                        published = Instant::now();
+                        write_and_reload(&new_config);
+                    }
                     NewRegistryDown(span) => {
                         new_registry.down.store(true, Ordering::SeqCst);
                         write_and_reload(&new_config);
--- a/crates/net/src/sleep.rs
+++ b/crates/net/src/sleep.rs
@@ -59,19 +59,22 @@
     }
     let (wake_at, waiter) = (Instant::now() + duration, Waiter::current());
     while Instant::now() < wake_at {
-        let queue = sleep_queue();
-        {
-            let mut sleepers = queue.sleepers.lock().unwrap_or_else(PoisonError::into_inner);
-            let is_earliest = sleepers.peek().is_none_or(|Reverse(first)| wake_at < first.wake_at);
-            sleepers.push(Reverse(Sleeper { wake_at, waiter: waiter.clone() }));
-            if is_earliest {
-                queue.new_earliest.notify_one();
-            }
-        }
+        resume_at(wake_at, &waiter);
         waiter.wait();
     }
 }
 
+/// Has the waiter resumed at this time.
+pub fn resume_at(wake_at: Instant, waiter: &Waiter) {
+    let queue = sleep_queue();
+    let mut sleepers = queue.sleepers.lock().unwrap_or_else(PoisonError::into_inner);
+    let is_earliest = sleepers.peek().is_none_or(|Reverse(first)| wake_at < first.wake_at);
+    sleepers.push(Reverse(Sleeper { wake_at, waiter: waiter.clone() }));
+    if is_earliest {
+        queue.new_earliest.notify_one();
+    }
+}
+
 fn wake_due_sleepers(queue: &SleepQueue) {
     let mut due = Vec::new();
     let mut sleepers = queue.sleepers.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -127,9 +127,7 @@
             self.shared.registry.clear_link();
             if let Err(error) = followed.unwrap_or(Err(Fault::Malformed.into())) {
                 let pause = self.plan_pause(error);
-                if !self.has_moved() {
-                    tulipstall_net::sleep(pause);
-                }
+                self.shared.registry.wait_for_reload(&self.target, pause);
             }
         }
     }
--- a/crates/node/src/registry/address.rs
+++ b/crates/node/src/registry/address.rs
@@ -3,8 +3,8 @@
 use crate::lock;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::time::Duration;
-use tulipstall_net::Link;
+use std::time::{Duration, Instant};
+use tulipstall_net::{Link, Notify};
 
 /// Which registry the configuration names.
 #[derive(Clone, Copy, Debug)]
@@ -27,29 +27,33 @@
 /// The registry's address, which a new configuration may change at any time.
 pub struct RegistryAddress {
     state: Mutex<State>,
+    reloaded: Notify,
 }
 
 impl RegistryAddress {
     pub fn new(address: SocketAddr) -> Self {
         let target = Target { address, moves: 0, reloads: 0, reloaded_at: Duration::ZERO };
-        RegistryAddress { state: Mutex::new(State { target, link: None }) }
+        RegistryAddress { state: Mutex::new(State { target, link: None }), reloaded: Notify::default() }
     }
 
     pub fn target(&self) -> Target {
         lock(&self.state).target
     }
 
-    /// Sets the address from a configuration that was announced at `reloaded_at`, and closes the connection
-    /// to a previous one.
+    /// Sets the address from a configuration that was announced at `reloaded_at`, closes the connection to a
+    /// previous one, and ends a pause.
     pub fn set(&self, address: SocketAddr, reloaded_at: Duration) {
-        let mut state = lock(&self.state);
-        let previous = state.target;
-        let moved = address != previous.address;
-        let (moves, reloads) = (previous.moves + u64::from(moved), previous.reloads + 1);
-        state.target = Target { address, moves, reloads, reloaded_at };
-        if moved && let Some(link) = state.link.take() {
-            link.shut();
+        {
+            let mut state = lock(&self.state);
+            let previous = state.target;
+            let moved = address != previous.address;
+            let (moves, reloads) = (previous.moves + u64::from(moved), previous.reloads + 1);
+            state.target = Target { address, moves, reloads, reloaded_at };
+            if moved && let Some(link) = state.link.take() {
+                link.shut();
+            }
         }
+        self.reloaded.notify();
     }
 
     /// Sets the connection to the registry, to be closed when the registry moves. Returns false if it has moved
@@ -67,4 +71,15 @@
     pub fn clear_link(&self) {
         lock(&self.state).link = None;
     }
+
+    /// Waits for a configuration later than `target`, at most for `timeout`.
+    pub fn wait_for_reload(&self, target: &Target, timeout: Duration) {
+        let until = Instant::now() + timeout;
+        while self.target().reloads == target.reloads {
+            // Notifications of configurations up to `target` end this wait, but not the loop.
+            if !self.reloaded.wait_timeout(until.saturating_duration_since(Instant::now())) {
+                return;
+            }
+        }
+    }
 }
--- a/crates/node/tests/refused_lists.rs
+++ b/crates/node/tests/refused_lists.rs
@@ -1,9 +1,10 @@
-//! A registry that has to be asked refuses requests or hangs: when its changes take effect nevertheless.
+//! A registry that has to be asked refuses requests, hangs, or moves: when its changes take effect nevertheless.
 
 mod platform;
 
 use platform::RegistryFault::{DelayMs, Disconnect, FirstList, MalformedJson, NoAnswer, SlowBody};
 use platform::*;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::PoisonError;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,6 +16,8 @@
 
 /// Time after which a change of a registry that can be reached counts as known.
 const CHANGE_DEADLINE: Duration = Duration::from_secs(6);
+/// As [`CHANGE_DEADLINE`], from the signal that announced a new address of the registry.
+const MOVE_DEADLINE: Duration = Duration::from_secs(4);
 /// How long a dispatcher may send to a host that it knows to drain, with the extension of limits on sockets.
 const DRAIN_GRACE: Duration = Duration::from_millis(250 + 50);
 /// Time within which all scripted faults have to be met.
@@ -208,3 +211,100 @@
         Case::at_start("start, no answer", &[REFUSED, REFUSED, REFUSED, REFUSED, NoAnswer]),
     ]);
 }
+
+/// An address at which connections are never established.
+struct UnreachableAddress {
+    address: SocketAddr,
+    _listener: socket2::Socket,
+    _waiting: Vec<socket2::Socket>,
+}
+
+impl UnreachableAddress {
+    fn new() -> UnreachableAddress {
+        use socket2::{Domain, Socket, Type};
+        let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let listener = socket();
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        listener.bind(&any.into()).expect("a port");
+        listener.listen(0).expect("a listener");
+        let address = listener.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+        // They fill the accept queue, so that the system drops what comes after them.
+        let waiting = (0..4).map(|_| {
+            let client = socket();
+            client.set_nonblocking(true).expect("a socket");
+            let _ = client.connect(&address.into());
+            client
+        });
+        let waiting = waiting.collect();
+        thread::sleep(ms(50));
+        let blocked = TcpStream::connect_timeout(&address, ms(200));
+        assert!(blocked.is_err(), "the accept queue is not full");
+        UnreachableAddress { address, _listener: listener, _waiting: waiting }
+    }
+}
+
+/// What the old registry does when the configuration names another one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum OldRegistry {
+    /// It has refused five requests: the dispatcher pauses.
+    Refused,
+    /// After refusals a request to it hangs.
+    Hangs,
+    /// It has moved to an address where connections are never established.
+    Unreachable,
+    /// As `Refused`; the address changes back and forth before it stays at the new one.
+    BackAndForth,
+}
+
+/// The registry moves, and the new one knows a change; 4 s after the signal that counts as known. Without an end of the pause
+/// at that moment, the new one is asked up to 9 s later: review/9.
+#[test]
+fn a_moved_registry_is_asked_in_time_whatever_the_old_one_does() {
+    use OldRegistry::*;
+    let new_faults: [&[RegistryFault]; 4] =
+        [&[], &[REFUSED, REFUSED], &[NoAnswer], &[REFUSED_SLOWLY, NoAnswer]];
+    let plays: Vec<_> = [Refused, Hangs, Unreachable, BackAndForth]
+        .into_iter()
+        .flat_map(|old| new_faults.map(|faults| (old, faults)))
+        .collect();
+    with_each_dispatcher(plays.len(), |number| {
+        let (old, faults) = plays[number];
+        let asker = Asker::start(&format!("{old:?}, then {faults:?}"), number, &[]);
+        let new_registry = Registry::start(&asker.hosts.each_ref());
+        new_registry.script.lock().expect("no panic").extend(faults);
+        let unreachable = UnreachableAddress::new();
+        asker.registry.script.lock().expect("no panic").extend([REFUSED; 5]);
+        match old {
+            Refused | BackAndForth => {
+                asker.wait_for_faults(0);
+                thread::sleep(ms(300));
+            }
+            Hangs => {
+                asker.registry.script.lock().expect("no panic").extend([NoAnswer; 100]);
+                asker.wait_for_faults(99);
+                thread::sleep(ms(100));
+            }
+            Unreachable => {
+                asker.wait_for_faults(0);
+                asker.node.set_registry_address(unreachable.address, Instant::now());
+                thread::sleep(ms(1000));
+            }
+        }
+        asker.drain_at(&new_registry);
+        if old == BackAndForth {
+            for address in [new_registry.address, asker.registry.address, new_registry.address] {
+                asker.registry.script.lock().expect("no panic").push_back(REFUSED);
+                asker.node.set_registry_address(address, Instant::now());
+                thread::sleep(ms(2));
+            }
+        }
+        let moved = Instant::now();
+        asker.node.set_registry_address(new_registry.address, Instant::now());
+        asker.check_drained(moved + MOVE_DEADLINE + DRAIN_GRACE);
+        assert!(
+            new_registry.script.lock().expect("no panic").is_empty(),
+            "{}: not every fault was met",
+            asker.name
+        );
+    });
+}
