Ask a registry less and less often after failures other than refusals too

Cause: only refusals made the pause grow. A registry that resets connections, refuses them or answers with an error was asked ten times a second by each dispatcher where lists are asked for.

Change: RequestSchedule lets the pause grow after each kind of failure, within the same deadline. After a deadline that was missed the next pause is spread wider, as it ends for all dispatchers at once.

--- a/crates/node/tests/refused_lists.rs
+++ b/crates/node/tests/refused_lists.rs
@@ -4,8 +4,9 @@
 
 use platform::RegistryFault::{DelayMs, Disconnect, FirstList, MalformedJson, NoAnswer, SlowBody};
 use platform::*;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::PoisonError;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 use tulipstall_node::Node;
@@ -308,3 +309,35 @@
         );
     });
 }
+
+/// Requests fail at once, by an error status or a closed connection. Without a pause that grows, each dispatcher asks ten times
+/// a second.
+#[test]
+fn requests_that_fail_at_once_are_repeated_less_and_less_often() {
+    const ERROR: RegistryFault =
+        RegistryFault::Refusal(Refusal { status: 500, retry_after_s: None, delay_ms: 0 });
+    with_each_dispatcher(2, |number| {
+        let asker = Asker::start("failing at once", number, &[]);
+        let closed_connections = Arc::new(AtomicUsize::new(0));
+        if number == 0 {
+            asker.registry.script.lock().expect("no panic").extend([ERROR; 1000]);
+        } else {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let count = closed_connections.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming() {
+                    drop(stream);
+                    count.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+            asker.node.set_registry_address(address, Instant::now());
+        }
+        thread::sleep(ms(12_000));
+        let failed =
+            if number == 0 { 1000 - asker.faults_left() } else { closed_connections.load(Ordering::SeqCst) };
+        println!("{}: {failed} requests in 12 s", asker.name);
+        // Until the pause is long a few more, then some three in each 6 s.
+        assert!((3..=16).contains(&failed), "{}: {failed} requests in 12 s", asker.name);
+    });
+}
--- a/crates/platform/src/registry/schedule.rs
+++ b/crates/platform/src/registry/schedule.rs
@@ -211,7 +211,7 @@
             Failure::Refused | Failure::Failed => self.failures = self.failures.saturating_add(1),
             Failure::Unanswered => self.unanswered = self.unanswered.saturating_add(1),
         }
-        if !self.timeouts.backs_off || failure != Failure::Refused {
+        if !self.timeouts.backs_off {
             return self.timeouts.retry_pause;
         }
         let spread = if missed { SPREAD_AFTER_DEADLINE } else { MIN_SPREAD };
--- a/crates/platform/src/registry/tests.rs
+++ b/crates/platform/src/registry/tests.rs
@@ -335,7 +335,7 @@
 fn an_overloaded_registry_is_asked_less_often() {
     for mode in MODES {
         let timeouts = timeouts_of(mode);
-        for failure in [Failure::Refused] {
+        for failure in [Failure::Refused, Failure::Failed, Failure::Unanswered] {
             let mut play = Play::new(timeouts, 0.5);
             let pauses: Vec<Duration> = (0..12).map(|_| play.fail(failure, MS)).collect();
             if !timeouts.backs_off {
@@ -360,7 +360,12 @@
 fn dispatchers_that_are_refused_at_once_spread_out() {
     const DISPATCHERS: u64 = 300;
     let ms = Duration::from_millis;
-    for (failure, alternating) in [(Failure::Refused, false), (Failure::Refused, true)] {
+    for (failure, alternating) in [
+        (Failure::Refused, false),
+        (Failure::Failed, false),
+        (Failure::Unanswered, false),
+        (Failure::Refused, true),
+    ] {
         let mut calls: Vec<Duration> = Vec::new();
         for dispatcher in 0..DISPATCHERS {
             let mut random = Random(dispatcher);
