Draw a random number for a registry pause only where pauses are random

Cause: since requests are timed by one deadline, each failed request drew from the generator that also spreads releases, also where lists are pushed and the pause is constant.

Change: it is drawn by a closure, as elsewhere in the platform's decisions.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -151,9 +151,10 @@
 
     /// Records that the last request failed. Returns the pause before the next one.
     fn plan_pause(&mut self, error: RequestError) -> Duration {
-        let (now, random_fraction) = (self.shared.now(), self.shared.hosts.random_fraction());
+        let (shared, now) = (self.shared, self.shared.now());
         let Request { kind, began_at, .. } = self.request;
-        let pause = self.schedule.failed(error.failure(), kind, began_at, now, random_fraction);
+        let pause =
+            self.schedule.failed(error.failure(), kind, began_at, now, || shared.hosts.random_fraction());
         let is_first = !std::mem::replace(&mut self.failing, true);
         // A local agent that is away fails many requests a second: only the first is logged.
         if is_first || self.timeouts.backs_off {
--- a/crates/platform/src/registry/schedule.rs
+++ b/crates/platform/src/registry/schedule.rs
@@ -182,14 +182,15 @@
         }
     }
 
-    /// A request of this kind that began at `began_at` failed. Returns the pause before the next one.
+    /// A request of this kind that began at `began_at` failed. Returns the pause before the next one,
+    /// for which a random number from 0 to 1 is drawn if it is to be a random one.
     pub fn failed(
         &mut self,
         failure: Failure,
         kind: RequestKind,
         began_at: Duration,
         now: Duration,
-        random_fraction: f64,
+        random_fraction: impl FnOnce() -> f64,
     ) -> Duration {
         if failure == Failure::Refused || self.out_of_reach {
             self.unread_since = self.unread_since.max(began_at);
@@ -215,7 +216,12 @@
             return self.timeouts.retry_pause;
         }
         let spread = if missed { SPREAD_AFTER_DEADLINE } else { MIN_SPREAD };
-        self.randomised_pause(self.timeouts.backoff(steps), self.time_for_pause(now), spread, random_fraction)
+        self.randomised_pause(
+            self.timeouts.backoff(steps),
+            self.time_for_pause(now),
+            spread,
+            random_fraction(),
+        )
     }
 
     /// A pause around this backoff, at most `limit`; where the limit is the shorter one, `spread` is the part of
--- a/crates/platform/src/registry/tests.rs
+++ b/crates/platform/src/registry/tests.rs
@@ -75,7 +75,7 @@
         let began_at = self.now;
         self.now += took;
         let kind = RequestKind::Resume;
-        let pause = self.schedule.failed(failure, kind, began_at, self.now, self.random_fraction);
+        let pause = self.schedule.failed(failure, kind, began_at, self.now, || self.random_fraction);
         self.now += pause;
         pause
     }
